Free an entry's threads under a flood; senders of its own for each stream of the load tool

Cause: at 10 times the capacity of 10 executors the accounts that did not flood had p50 24 s. Two causes: the load tool queued all streams in one ring, and the library gives a thread to each open connection, so that the flood's idle connections held the threads that others waited for. Ruled out: the fair queue (its own property holds) and the slots (400 a second answered throughout). Now connections are closed after their answer while connections wait or a quarter of the threads is in use, and each stream has its own senders.

--- a/libraries/base/network.cpp
+++ b/libraries/base/network.cpp
@@ -54,9 +54,36 @@
     return {text.data(), end.ptr};
 }
 
-http_server::http_server(std::size_t threads)
+namespace {
+
+// The library's pool, with a count of what it holds.
+class counting_pool : public httplib::TaskQueue {
+public:
+    counting_pool(std::size_t threads, connection_load& load) : pool(threads), load(load) {}
+
+    void enqueue(std::function<void()> connection) override
+    {
+        ++this->load.waiting;
+        this->pool.enqueue([this, connection = std::move(connection)] {
+            --this->load.waiting;
+            ++this->load.served;
+            connection();
+            --this->load.served;
+        });
+    }
+
+    void shutdown() override { this->pool.shutdown(); }
+
+private:
+    httplib::ThreadPool pool;
+    connection_load& load;
+};
+
+} // namespace
+
+http_server::http_server(std::size_t threads) : threads(threads)
 {
-    this->server.new_task_queue = [threads] { return new httplib::ThreadPool(threads); };
+    this->server.new_task_queue = [this] { return new counting_pool(this->threads, this->load); };
     this->server.set_tcp_nodelay(true);
     // The default of the library also sets SO_REUSEPORT, which would let two processes share a port unnoticed.
     this->server.set_socket_options([](socket_t socket) {
@@ -70,6 +97,11 @@
     this->stop();
 }
 
+bool http_server::is_crowded() const
+{
+    return this->load.waiting > 0 || this->load.served * 4 > this->threads;
+}
+
 int http_server::start(std::string_view address)
 {
     host_port bound = parse_address(address);
--- a/libraries/base/network.h
+++ b/libraries/base/network.h
@@ -2,6 +2,7 @@
 
 #pragma once
 
+#include <atomic>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -30,11 +31,20 @@
 // Text in hexadecimal digits, for log lines and answers.
 std::string format_incarnation(std::uint64_t incarnation);
 
+// Connections of a server: each one occupies a thread while it is open, also when it is idle.
+struct connection_load {
+    std::atomic<std::size_t> waiting = 0; // For a thread.
+    std::atomic<std::size_t> served = 0;
+};
+
 // An HTTP server with its own listening thread. Stops when it is destroyed.
 class http_server {
 public:
     // `threads` connections are served at once.
     explicit http_server(std::size_t threads);
+
+    // True when idle connections should be closed to make room: some wait, or a quarter of the threads is in use.
+    [[nodiscard]] bool is_crowded() const;
     ~http_server();
 
     http_server(const http_server&) = delete;
@@ -49,6 +59,8 @@
     void stop();
 
 private:
+    const std::size_t threads;
+    connection_load load;
     httplib::Server server;
     std::thread listener;
 };
--- a/libraries/entry/caller_api.cpp
+++ b/libraries/entry/caller_api.cpp
@@ -89,8 +89,12 @@
 } // namespace
 
 caller_api::caller_api(const EntrySettings& settings, replica& state, request_service& requests,
-                       std::function<bool()> is_ready)
-    : settings(settings), state(state), requests(requests), is_ready(std::move(is_ready))
+                       std::function<bool()> is_ready, std::function<bool()> is_crowded)
+    : settings(settings),
+      state(state),
+      requests(requests),
+      is_ready(std::move(is_ready)),
+      is_crowded(std::move(is_crowded))
 {
 }
 
@@ -141,7 +145,8 @@
         const std::uint64_t version =
             this->state.read([](const replicated_state& current) { return current.configuration().version(); });
         answer.set_header("Wigeon-Configuration-Version", std::to_string(version));
-        if (this->closing)
+        // An idle connection holds a thread, which under a flood others wait for.
+        if (this->closing || this->is_crowded())
             answer.set_header("Connection", "close");
         --this->active;
     };
--- a/libraries/entry/caller_api.h
+++ b/libraries/entry/caller_api.h
@@ -16,8 +16,8 @@
 
 class caller_api {
 public:
-    caller_api(const EntrySettings& settings, replica& state, request_service& requests,
-               std::function<bool()> is_ready);
+    caller_api(const EntrySettings& settings, replica& state, request_service& requests, std::function<bool()> is_ready,
+               std::function<bool()> is_crowded);
 
     void add_routes(httplib::Server& server);
 
@@ -40,6 +40,7 @@
     replica& state;
     request_service& requests;
     std::function<bool()> is_ready;
+    std::function<bool()> is_crowded;
     std::atomic<bool> closing = false;
     std::atomic<std::uint32_t> active = 0;
 };
--- a/services/entry/main.cpp
+++ b/services/entry/main.cpp
@@ -121,7 +121,8 @@
     request_service requests(settings, state, gate, pool, is_alive);
     std::atomic<bool> leaving = false;
     const auto is_ready = [&] { return state.is_ready() && gossip.is_current(); };
-    caller_api api(settings, state, requests, is_ready);
+    http_server callers(settings.caller_threads());
+    caller_api api(settings, state, requests, is_ready, [&callers] { return callers.is_crowded(); });
 
     gossip.start([&gate] { return gate.demand(); });
     state.start([&gossip](std::uint64_t offset) { return gossip.ask_state(offset); });
@@ -131,7 +132,6 @@
     http_server operators(operator_threads);
     add_health_routes(operators.routes(), [&] { return is_ready() && !leaving; });
     const int operator_port = operators.start(settings.operator_address());
-    http_server callers(settings.caller_threads());
     callers.routes().set_keep_alive_timeout(static_cast<time_t>(settings.keep_alive_s()));
     api.add_routes(callers.routes());
     const int caller_port = callers.start(settings.listen_address());
--- a/services/load/main.cpp
+++ b/services/load/main.cpp
@@ -6,6 +6,7 @@
 #include <cstdio>
 #include <iostream>
 #include <map>
+#include <memory>
 #include <mutex>
 #include <random>
 #include <thread>
@@ -93,11 +94,17 @@
 
     void run()
     {
+        // Each stream has senders of its own: the queue of a flood must not delay what others are due to send.
         std::vector<std::thread> senders;
-        for (std::uint32_t i = 0; i < this->settings.threads(); ++i)
-            senders.emplace_back([this, i] { this->send_all(i); });
+        for (std::size_t i = 0; i < this->streams.size(); ++i)
+            this->due.push_back(std::make_unique<bounded_ring<due_request>>(ring_capacity));
+        for (std::size_t i = 0; i < this->streams.size(); ++i) {
+            for (std::uint32_t j = 0; j < this->settings.threads(); ++j)
+                senders.emplace_back([this, i, j] { this->send_all(*this->due[i], j); });
+        }
         this->dispatch();
-        this->due.close();
+        for (const auto& ring : this->due)
+            ring->close();
         for (std::thread& sender : senders)
             sender.join();
     }
@@ -135,19 +142,19 @@
             const bool is_measured = at_s >= this->settings.warmup_s();
             if (is_measured)
                 ++this->results[first].offered;
-            if (!this->due.try_push({first, number, at, is_measured}))
+            if (!this->due[first]->try_push({first, number, at, is_measured}))
                 ++this->dropped;
             advance(first);
         }
     }
 
-    void send_all(std::uint32_t sender)
+    void send_all(bounded_ring<due_request>& own, std::uint32_t sender)
     {
         std::map<std::size_t, std::unique_ptr<httplib::Client>> clients;
         while (true) {
-            const auto request = this->due.pop(milliseconds(200));
+            const auto request = own.pop(milliseconds(200));
             if (!request) {
-                if (this->due.is_closed())
+                if (own.is_closed())
                     return;
                 continue;
             }
@@ -248,7 +255,7 @@
     const LoadSettings settings;
     const std::vector<stream> streams;
     const std::vector<std::string> entries;
-    bounded_ring<due_request> due{ring_capacity};
+    std::vector<std::unique_ptr<bounded_ring<due_request>>> due; // By stream.
     std::mutex mutex;
     std::vector<stream_result> results; // Guarded by mutex; `offered` belongs to the dispatching thread.
     std::uint64_t dropped = 0;
