--- /dev/null
+++ b/libraries/entry/entry_maintenance.cpp
@@ -0,0 +1,83 @@
+// One thread each for the shares, the host list and the probes.
+
+#include "entry/entry_maintenance.h"
+
+#include <algorithm>
+
+#include "base/metrics.h"
+#include "platform/host_list.h"
+
+namespace wigeon {
+
+namespace {
+
+constexpr milliseconds share_interval{100};
+constexpr milliseconds host_list_interval{1000};
+
+} // namespace
+
+entry_maintenance::entry_maintenance(const EntrySettings& settings, replica& state, peer_gossip& gossip,
+                                     admission& gate, connection_pool& pool)
+    : settings(settings), state(state), gossip(gossip), gate(gate), pool(pool)
+{
+}
+
+void entry_maintenance::start()
+{
+    this->divider = std::thread([this] { this->run_shares(); });
+    this->host_reader = std::thread([this] { this->run_host_list(); });
+    this->prober = std::thread([this] { this->run_probes(); });
+}
+
+void entry_maintenance::stop()
+{
+    this->stopping = true;
+    this->divider.join();
+    this->host_reader.join();
+    this->prober.join();
+}
+
+void entry_maintenance::run_shares()
+{
+    while (!this->stopping) {
+        const Configuration configuration =
+            this->state.read([](const replicated_state& current) { return current.configuration(); });
+        std::vector<entry_demand> entries{{this->state.incarnation(), this->gate.demand()}};
+        for (const member& peer : this->gossip.list_live("entry"))
+            entries.push_back({peer.beat.incarnation(), peer.beat.demand()});
+        const std::size_t largest = this->gossip.largest_size("entry") + 1;
+        const steady_time now = read_steady_clock();
+        this->gate.update_table([&](executor_table& table) {
+            table.configure(configuration);
+            // Alone among several, this entry cannot tell a cut from the death of all the others.
+            if (entries.size() == 1 && largest > 1)
+                table.divide_equally(largest, now);
+            else
+                table.divide_slots(entries, this->state.incarnation(), now);
+        });
+        std::this_thread::sleep_for(share_interval);
+    }
+}
+
+void entry_maintenance::run_host_list()
+{
+    const auto hosts = make_http_host_list(this->settings.host_list_address(), host_list_interval);
+    while (!this->stopping) {
+        if (const auto leaving = hosts->read_leaving())
+            this->gate.update_table([&](executor_table& table) { table.note_leaving(*leaving); });
+        else
+            count_retry("host_list");
+        std::this_thread::sleep_for(host_list_interval);
+    }
+}
+
+void entry_maintenance::run_probes()
+{
+    const milliseconds interval(this->settings.probe_interval_ms());
+    while (!this->stopping) {
+        this->pool.probe_idle(std::min(interval, milliseconds(this->settings.connect_timeout_ms())));
+        std::this_thread::sleep_for(interval);
+    }
+}
+
+} // namespace wigeon
--- /dev/null
+++ b/libraries/entry/entry_maintenance.h
@@ -0,0 +1,40 @@
+// Keeps an entry's executor table in line with the configuration, the peers and the host list.
+
+#pragma once
+
+#include <atomic>
+#include <thread>
+
+#include "membership/peer_gossip.h"
+#include "replica/replica.h"
+#include "routing/admission.h"
+#include "routing/connection_pool.h"
+#include "wigeon.pb.h"
+
+namespace wigeon {
+
+class entry_maintenance {
+public:
+    entry_maintenance(const EntrySettings& settings, replica& state, peer_gossip& gossip, admission& gate,
+                      connection_pool& pool);
+
+    void start();
+    void stop();
+
+private:
+    void run_shares();
+    void run_host_list();
+    void run_probes();
+
+    const EntrySettings settings;
+    replica& state;
+    peer_gossip& gossip;
+    admission& gate;
+    connection_pool& pool;
+    std::atomic<bool> stopping = false;
+    std::thread divider;
+    std::thread host_reader;
+    std::thread prober;
+};
+
+} // namespace wigeon
--- /dev/null
+++ b/libraries/placement/planning_round.cpp
@@ -0,0 +1,434 @@
+// Guaranteed jobs first, then borrowing ones in turn by account.
+
+#include "placement/planning_round.h"
+
+#include <algorithm>
+
+#include "state/configuration.h"
+#include "state/job_rules.h"
+
+namespace wigeon {
+
+namespace {
+
+shape_key make_shape_key(const JobRequest& request, bool is_urgent)
+{
+    return {request.account(),        is_urgent,
+            request.tasks(),          request.accelerators_per_task(),
+            request.cores_per_task(), request.memory_gigabytes_per_task(),
+            request.adjacency()};
+}
+
+} // namespace
+
+planning_round::planning_round(const replicated_state& state, const worker_set& unusable,
+                               const placement_policy& policy, const planner_options& options, std::uint64_t now_ms,
+                               plan& result)
+    : state(state), view(state, unusable), policy(policy), options(options), now_ms(now_ms), result(result)
+{
+}
+
+void planning_round::place_waiting()
+{
+    std::vector<waiting_job> waiting = this->list_waiting();
+    std::vector<waiting_job> beyond_guarantee;
+    for (const waiting_job& entry : waiting) {
+        const bool is_urgent = entry.job_class->urgent();
+        if (!this->failed_shapes.contains(make_shape_key(entry.job->request(), is_urgent))) {
+            if (this->try_guaranteed(entry))
+                continue;
+            if (entry.job->failed_workers_size() == 0)
+                this->failed_shapes.insert(make_shape_key(entry.job->request(), is_urgent));
+        }
+        beyond_guarantee.push_back(entry);
+    }
+    this->failed_shapes.clear();
+    this->place_borrowing(beyond_guarantee);
+}
+
+// Urgent jobs first, then the older ones.
+std::vector<waiting_job> planning_round::list_waiting() const
+{
+    std::vector<waiting_job> waiting;
+    for (const auto& [id, job] : this->state.jobs()) {
+        if (job.state() != JOB_ACCEPTED)
+            continue;
+        const JobClass* job_class = find_class(this->state.configuration(), job.request().job_class());
+        const bool is_configured =
+            job_class != nullptr && find_account(this->state.configuration(), job.request().account()) != nullptr;
+        if (is_configured)
+            waiting.push_back({&job, job_class});
+        else
+            this->result.wait_reasons[id] = "its account or class is no longer configured";
+    }
+    std::stable_sort(waiting.begin(), waiting.end(), [](const waiting_job& a, const waiting_job& b) {
+        if (a.job_class->urgent() != b.job_class->urgent())
+            return a.job_class->urgent();
+        return a.job->accepted_at_ms() < b.job->accepted_at_ms();
+    });
+    return waiting;
+}
+
+worker_amounts planning_round::list_needed(const Job& job) const
+{
+    const std::vector<worker_place>& places = this->view.layout().places;
+    worker_amounts needed(places.size());
+    for (std::size_t i = 0; i < places.size(); ++i)
+        needed[i] = count_needed_accelerators(job.request(), *places[i].worker);
+    if (job.failed_workers_size() == 0)
+        return needed;
+    // A job does not come back to a worker on which it failed, unless it fits nowhere else.
+    worker_amounts elsewhere = needed;
+    worker_amounts capacity(places.size());
+    for (std::size_t i = 0; i < places.size(); ++i) {
+        const auto& failed = job.failed_workers();
+        capacity[i] = this->view.rooms()[i].capacity;
+        if (std::find(failed.begin(), failed.end(), places[i].worker->id()) != failed.end())
+            elsewhere[i] = 0;
+    }
+    return this->choose(job, elsewhere, capacity) ? elsewhere : needed;
+}
+
+gang_choices planning_round::choose(const Job& job, const worker_amounts& needed, const worker_amounts& available) const
+{
+    const gang_shape gang{job.request().tasks(), job.request().adjacency(), needed};
+    return this->policy.choose(this->view.layout(), available, gang);
+}
+
+worker_amounts planning_round::limit_to(const worker_amounts& amount, bool with_stopping) const
+{
+    worker_amounts limited(amount.size());
+    for (std::size_t i = 0; i < amount.size(); ++i) {
+        const worker_room& room = this->view.rooms()[i];
+        std::uint32_t free = room.free();
+        if (with_stopping && room.is_usable)
+            free = room.capacity - std::min(room.capacity, room.used - room.stopping + room.held);
+        limited[i] = std::min(amount[i], free);
+    }
+    return limited;
+}
+
+worker_amounts planning_round::drop_unusable(worker_amounts amount) const
+{
+    for (std::size_t i = 0; i < amount.size(); ++i) {
+        if (!this->view.rooms()[i].is_usable)
+            amount[i] = 0;
+    }
+    return amount;
+}
+
+// Places the job inside its account's guarantee, or begins the reclaim that will let it.
+bool planning_round::try_guaranteed(const waiting_job& entry)
+{
+    const std::string& account = entry.job->request().account();
+    const worker_amounts& unused = this->view.unused_guarantee(account);
+    if (!entry.job_class->urgent() && std::all_of(unused.begin(), unused.end(), [](auto n) { return n == 0; }))
+        return false;
+    const worker_amounts needed = this->list_needed(*entry.job);
+    if (const gang_choices now = this->choose(*entry.job, needed, this->limit_to(unused, false))) {
+        this->place(*entry.job, *now, true);
+        return true;
+    }
+    if (const gang_choices soon = this->choose(*entry.job, needed, this->limit_to(unused, true))) {
+        this->wait_for_reclaim(*entry.job, *soon);
+        return true;
+    }
+    if (this->options.has_rebinding && this->try_rebinding(*entry.job, needed))
+        return true;
+    if (const gang_choices after_reclaim = this->choose(*entry.job, needed, this->drop_unusable(unused))) {
+        this->stop_borrowers(*entry.job, *after_reclaim, false);
+        this->wait_for_reclaim(*entry.job, *after_reclaim);
+        return true;
+    }
+    return entry.job_class->urgent() && this->try_urgent(entry, needed);
+}
+
+// Moves an unused cell of the account to workers that are free and unbound, when the job fits there. The
+// job is placed in the next round, on the state that holds the new binding.
+bool planning_round::try_rebinding(const Job& job, const worker_amounts& needed)
+{
+    const std::string& account = job.request().account();
+    const auto binding = this->state.bindings().find(account);
+    const Account* configured = find_account(this->state.configuration(), account);
+    if (binding == this->state.bindings().end() || this->rebound.contains(account))
+        return false;
+    for (int i = 0; i < binding->second.cells_size(); ++i) {
+        const BoundCell& cell = binding->second.cells(i);
+        if (!this->is_unused(account, cell))
+            continue;
+        const GuaranteedShape& shape = configured->guarantees(static_cast<int>(cell.shape()));
+        const gang_choices moved = this->find_free_cell(shape);
+        if (!moved)
+            continue;
+        worker_amounts available(needed.size());
+        for (const task_choice& block : *moved)
+            available[block.worker] = block.accelerators;
+        if (!this->choose(job, needed, available))
+            continue;
+        this->rebind(binding->second, i, *moved);
+        this->wait_for_reclaim(job, *moved);
+        return true;
+    }
+    return false;
+}
+
+bool planning_round::is_unused(const std::string& account, const BoundCell& cell) const
+{
+    const worker_amounts& unused = this->view.unused_guarantee(account);
+    return std::all_of(cell.blocks().begin(), cell.blocks().end(), [&](const TaskPlacement& block) {
+        const std::size_t worker = this->view.find_worker_index(block.worker());
+        return worker < unused.size() && unused[worker] >= block.accelerators();
+    });
+}
+
+gang_choices planning_round::find_free_cell(const GuaranteedShape& shape) const
+{
+    worker_amounts available(this->view.rooms().size());
+    for (std::size_t i = 0; i < available.size(); ++i) {
+        const worker_room& room = this->view.rooms()[i];
+        available[i] = std::min(room.free(), room.capacity - std::min(room.capacity, room.reserved));
+    }
+    const fleet_layout& layout = this->view.layout();
+    // One block to a worker: what a worker has beyond one block does not count.
+    for (std::uint32_t& amount : available)
+        amount = amount >= shape.accelerators() ? shape.accelerators() : 0;
+    const worker_amounts needed(available.size(), shape.accelerators());
+    const gang_shape gang{shape.workers(), shape.adjacency(), needed};
+    return this->policy.choose(layout, available, gang);
+}
+
+void planning_round::rebind(const BindingState& binding, int cell, const std::vector<task_choice>& moved)
+{
+    this->rebound.insert(binding.account());
+    this->view.reserve(moved);
+    BindGuarantee& bind = *this->result.decisions.emplace_back().mutable_bind();
+    bind.set_account(binding.account());
+    *bind.mutable_cells() = binding.cells();
+    bind.set_unmet_cells(binding.unmet_cells());
+    BoundCell& changed = *bind.mutable_cells(cell);
+    changed.clear_blocks();
+    for (const task_choice& block : moved) {
+        TaskPlacement* placement = changed.add_blocks();
+        placement->set_worker(this->view.layout().places[block.worker].worker->id());
+        placement->set_accelerators(block.accelerators);
+    }
+}
+
+// An urgent job may stop its own account's covered jobs that are not urgent.
+bool planning_round::try_urgent(const waiting_job& entry, const worker_amounts& needed)
+{
+    const std::string& account = entry.job->request().account();
+    worker_amounts reclaimable = this->view.bound(account);
+    for (const placed_job& placed : this->view.placed()) {
+        if (placed.is_covered && placed.job->request().account() == account && this->is_urgent(*placed.job)) {
+            for (const task_choice& task : placed.tasks)
+                reclaimable[task.worker] -= std::min(reclaimable[task.worker], task.accelerators);
+        }
+    }
+    for (std::size_t i = 0; i < reclaimable.size(); ++i)
+        reclaimable[i] -= std::min(reclaimable[i], this->view.rooms()[i].held);
+    const gang_choices chosen = this->choose(*entry.job, needed, this->drop_unusable(std::move(reclaimable)));
+    if (!chosen)
+        return false;
+    this->stop_borrowers(*entry.job, *chosen, true);
+    this->wait_for_reclaim(*entry.job, *chosen);
+    return true;
+}
+
+bool planning_round::is_urgent(const Job& job) const
+{
+    const JobClass* job_class = find_class(this->state.configuration(), job.request().job_class());
+    return job_class != nullptr && job_class->urgent();
+}
+
+void planning_round::wait_for_reclaim(const Job& job, const std::vector<task_choice>& tasks)
+{
+    this->view.hold(tasks);
+    this->result.wait_reasons[job.id()] = "waits until borrowers have stopped on " +
+                                          this->view.layout().places[tasks.front().worker].worker->id() + " and " +
+                                          std::to_string(tasks.size() - 1) + " further places";
+}
+
+// Stops borrowers on the chosen workers until the tasks fit, those first that lose the least work.
+void planning_round::stop_borrowers(const Job& job, const std::vector<task_choice>& tasks, bool with_own)
+{
+    std::map<std::size_t, std::uint32_t> missing;
+    for (const task_choice& task : tasks)
+        missing[task.worker] += task.accelerators;
+    for (auto& [worker, amount] : missing) {
+        const worker_room& room = this->view.rooms()[worker];
+        const std::uint32_t available = room.capacity - std::min(room.capacity, room.used - room.stopping + room.held);
+        amount -= std::min(amount, available);
+    }
+    std::vector<const placed_job*> candidates;
+    for (const placed_job& placed : this->view.placed()) {
+        const bool is_own_lower = with_own && placed.is_covered && !this->is_urgent(*placed.job) &&
+                                  placed.job->request().account() == job.request().account();
+        const bool may_stop = !placed.is_covered || is_own_lower;
+        if (may_stop && placed.job->state() != JOB_STOPPING && !this->stopped.contains(placed.job->id()))
+            candidates.push_back(&placed);
+    }
+    std::stable_sort(candidates.begin(), candidates.end(), [this](const placed_job* a, const placed_job* b) {
+        return this->count_lost_work(*a) < this->count_lost_work(*b);
+    });
+    for (const placed_job* candidate : candidates)
+        this->stop_if_it_helps(*candidate, missing, job);
+}
+
+void planning_round::stop_if_it_helps(const placed_job& candidate, std::map<std::size_t, std::uint32_t>& missing,
+                                      const Job& job)
+{
+    const bool helps = std::any_of(candidate.tasks.begin(), candidate.tasks.end(), [&](const task_choice& task) {
+        const auto found = missing.find(task.worker);
+        return found != missing.end() && found->second > 0;
+    });
+    if (!helps)
+        return;
+    for (const task_choice& task : candidate.tasks) {
+        const auto found = missing.find(task.worker);
+        if (found != missing.end())
+            found->second -= std::min(found->second, task.accelerators);
+    }
+    this->stopped.insert(candidate.job->id());
+    this->view.mark_stopping(candidate);
+    Decision& decision = this->result.decisions.emplace_back();
+    decision.mutable_stop()->set_job(candidate.job->id());
+    decision.mutable_stop()->set_attempt(candidate.job->attempt());
+    decision.mutable_stop()->set_reason("reclaimed for " + job.id());
+}
+
+// Accelerator-milliseconds since the start.
+std::uint64_t planning_round::count_lost_work(const placed_job& placed) const
+{
+    const std::uint64_t begin = placed.job->placed_at_ms();
+    std::uint64_t accelerators = 0;
+    for (const task_choice& task : placed.tasks)
+        accelerators += task.accelerators;
+    return this->now_ms > begin ? (this->now_ms - begin) * accelerators : 0;
+}
+
+// The account with the least borrowed capacity for its weight comes next, with its first waiting job.
+void planning_round::place_borrowing(const std::vector<waiting_job>& waiting)
+{
+    std::map<std::string, std::vector<waiting_job>> by_account;
+    for (const waiting_job& entry : waiting) {
+        if (entry.job_class->may_borrow())
+            by_account[entry.job->request().account()].push_back(entry);
+        else
+            this->result.wait_reasons[entry.job->id()] =
+                "does not fit the unused guarantee of its account, and its class may not borrow";
+    }
+    const Job* oldest = this->options.has_backfill_hold ? this->find_oldest(waiting) : nullptr;
+    if (oldest != nullptr && !this->try_borrowing(*oldest))
+        this->hold_for(*oldest);
+    std::map<std::string, std::size_t> next;
+    while (true) {
+        const std::string* account = nullptr;
+        double least = 0;
+        for (const auto& [name, entries] : by_account) {
+            if (next[name] == entries.size())
+                continue;
+            const std::uint32_t weight = find_account(this->state.configuration(), name)->weight();
+            const double ratio = static_cast<double>(this->view.borrowed_by(name)) / weight;
+            if (account == nullptr || ratio < least) {
+                account = &name;
+                least = ratio;
+            }
+        }
+        if (account == nullptr)
+            return;
+        const waiting_job& entry = by_account[*account][next[*account]++];
+        if (entry.job != oldest)
+            this->try_borrowing(*entry.job);
+    }
+}
+
+// The oldest job that may borrow, once it has waited for the grace.
+const Job* planning_round::find_oldest(const std::vector<waiting_job>& waiting) const
+{
+    const Job* oldest = nullptr;
+    for (const waiting_job& entry : waiting) {
+        const bool is_due = this->now_ms >= entry.job->accepted_at_ms() + this->options.backfill_grace_ms;
+        const bool is_older = oldest == nullptr || entry.job->accepted_at_ms() < oldest->accepted_at_ms();
+        if (entry.job_class->may_borrow() && is_due && is_older)
+            oldest = entry.job;
+    }
+    return oldest;
+}
+
+bool planning_round::try_borrowing(const Job& job)
+{
+    const shape_key key = make_shape_key(job.request(), false);
+    if (!this->failed_shapes.contains(key)) {
+        const worker_amounts needed = this->list_needed(job);
+        gang_choices chosen = this->choose(job, needed, this->view.unbound_free(job.request().account()));
+        if (!chosen) {
+            worker_amounts free(this->view.rooms().size());
+            for (std::size_t i = 0; i < free.size(); ++i)
+                free[i] = this->view.rooms()[i].free();
+            chosen = this->choose(job, needed, free);
+        }
+        if (chosen) {
+            this->place(job, *chosen, false);
+            return true;
+        }
+        if (job.failed_workers_size() == 0)
+            this->failed_shapes.insert(key);
+    }
+    this->result.wait_reasons[job.id()] =
+        "is beyond the unused guarantee of its account, and no group of workers has room for " +
+        std::to_string(job.request().tasks()) + " tasks of " + std::to_string(job.request().accelerators_per_task()) +
+        " accelerators";
+    return false;
+}
+
+// Keeps smaller jobs out of the group that has the most room already and could hold the job when empty.
+void planning_round::hold_for(const Job& job)
+{
+    const fleet_layout& layout = this->view.layout();
+    const worker_amounts needed = this->list_needed(job);
+    const index_range whole{0, layout.places.size()};
+    std::vector<index_range> groups = layout.racks;
+    if (job.request().adjacency() != ADJACENCY_RACK)
+        groups.insert(groups.end(), layout.zones.begin(), layout.zones.end());
+    if (job.request().adjacency() == ADJACENCY_ANY)
+        groups.push_back(whole);
+    const index_range* best = nullptr;
+    double best_share = -1;
+    for (const index_range& group : groups) {
+        std::uint32_t tasks = 0;
+        std::uint32_t startable = 0;
+        for (std::size_t i = group.begin; i < group.end; ++i) {
+            const worker_room& room = this->view.rooms()[i];
+            if (needed[i] == 0 || !room.is_usable)
+                continue;
+            tasks += (room.capacity - std::min(room.capacity, room.covered)) / needed[i];
+            startable += room.free() / needed[i];
+        }
+        const double share = static_cast<double>(startable) / job.request().tasks();
+        if (tasks >= job.request().tasks() && share > best_share) {
+            best = &group;
+            best_share = share;
+        }
+    }
+    // Shapes that failed before the hold fail after it as well, so the set of them stays valid.
+    if (best != nullptr)
+        this->view.hold_free(*best);
+}
+
+void planning_round::place(const Job& job, const std::vector<task_choice>& tasks, bool is_covered)
+{
+    this->view.occupy(job.request().account(), tasks, is_covered);
+    Decision& decision = this->result.decisions.emplace_back();
+    PlaceJob& place = *decision.mutable_place();
+    place.set_job(job.id());
+    place.set_attempt(job.attempt() + 1);
+    place.set_is_borrowing(!is_covered);
+    for (const task_choice& task : tasks) {
+        TaskPlacement* placement = place.add_placements();
+        placement->set_worker(this->view.layout().places[task.worker].worker->id());
+        placement->set_accelerators(task.accelerators);
+    }
+}
+
+} // namespace wigeon
--- a/services/entry/main.cpp
+++ b/services/entry/main.cpp
@@ -9,98 +9,18 @@
 #include "base/network.h"
 #include "base/settings.h"
 #include "entry/caller_api.h"
+#include "entry/entry_maintenance.h"
 #include "entry/request_service.h"
 #include "membership/peer_gossip.h"
-#include "platform/host_list.h"
 #include "replica/replica.h"
 
 namespace wigeon {
 
 namespace {
 
-constexpr milliseconds maintenance_interval{100};
-constexpr milliseconds host_list_interval{1000};
+constexpr milliseconds shutdown_poll{100};
 constexpr std::size_t operator_threads = 4;
 
-// Keeps the executor table in line with the configuration, the peers and the host list.
-class entry_maintenance {
-public:
-    entry_maintenance(const EntrySettings& settings, replica& state, peer_gossip& gossip, admission& gate,
-                      connection_pool& pool)
-        : settings(settings), state(state), gossip(gossip), gate(gate), pool(pool)
-    {
-    }
-
-    void start()
-    {
-        this->divider = std::thread([this] { this->run_shares(); });
-        this->host_reader = std::thread([this] { this->run_host_list(); });
-        this->prober = std::thread([this] { this->run_probes(); });
-    }
-
-    void stop()
-    {
-        this->stopping = true;
-        this->divider.join();
-        this->host_reader.join();
-        this->prober.join();
-    }
-
-private:
-    void run_shares()
-    {
-        while (!this->stopping) {
-            const Configuration configuration =
-                this->state.read([](const replicated_state& current) { return current.configuration(); });
-            std::vector<entry_demand> entries{{this->state.incarnation(), this->gate.demand()}};
-            for (const member& peer : this->gossip.list_live("entry"))
-                entries.push_back({peer.beat.incarnation(), peer.beat.demand()});
-            const std::size_t largest = this->gossip.largest_size("entry") + 1;
-            const steady_time now = read_steady_clock();
-            this->gate.update_table([&](executor_table& table) {
-                table.configure(configuration);
-                // Alone among several, this entry cannot tell a cut from the death of all the others.
-                if (entries.size() == 1 && largest > 1)
-                    table.divide_equally(largest, now);
-                else
-                    table.divide_slots(entries, this->state.incarnation(), now);
-            });
-            std::this_thread::sleep_for(maintenance_interval);
-        }
-    }
-
-    void run_host_list()
-    {
-        const auto hosts = make_http_host_list(this->settings.host_list_address(), host_list_interval);
-        while (!this->stopping) {
-            if (const auto leaving = hosts->read_leaving())
-                this->gate.update_table([&](executor_table& table) { table.note_leaving(*leaving); });
-            else
-                count_retry("host_list");
-            std::this_thread::sleep_for(host_list_interval);
-        }
-    }
-
-    void run_probes()
-    {
-        const milliseconds interval(this->settings.probe_interval_ms());
-        while (!this->stopping) {
-            this->pool.probe_idle(std::min(interval, milliseconds(this->settings.connect_timeout_ms())));
-            std::this_thread::sleep_for(interval);
-        }
-    }
-
-    const EntrySettings& settings;
-    replica& state;
-    peer_gossip& gossip;
-    admission& gate;
-    connection_pool& pool;
-    std::atomic<bool> stopping = false;
-    std::thread divider;
-    std::thread host_reader;
-    std::thread prober;
-};
-
 void run(const EntrySettings& settings)
 {
     const CommonSettings& common = settings.common();
@@ -149,7 +69,7 @@
     std::thread watchdog([&api, limit = std::chrono::seconds(settings.shutdown_limit_s())] {
         const steady_time end = read_steady_clock() + limit;
         while (api.in_flight() > 0 && read_steady_clock() < end)
-            std::this_thread::sleep_for(maintenance_interval);
+            std::this_thread::sleep_for(shutdown_poll);
         if (api.in_flight() == 0)
             return;
         log_change("shutdown_cut", {{"in_flight", std::to_string(api.in_flight())}});
--- a/tests/support/cluster.cpp
+++ b/tests/support/cluster.cpp
@@ -64,6 +64,18 @@
     }
 }
 
+http_reply make_reply(const httplib::Result& answer)
+{
+    http_reply reply;
+    if (!answer)
+        return reply;
+    reply.status = answer->status;
+    reply.body = answer->body;
+    for (const auto& [name, value] : answer->headers)
+        reply.headers[name] = value;
+    return reply;
+}
+
 std::string program(const std::string& name)
 {
     const char* folder = std::getenv("WIGEON_BUILD");
@@ -305,28 +317,14 @@
     httplib::Client client(host, this->ports.at("caller:entry" + std::to_string(entry)));
     client.set_read_timeout(limit);
     const auto answer = client.Post(path, httplib::Headers(headers.begin(), headers.end()), body, "application/json");
-    http_reply reply;
-    if (!answer)
-        return reply;
-    reply.status = answer->status;
-    reply.body = answer->body;
-    for (const auto& [name, value] : answer->headers)
-        reply.headers[name] = value;
-    return reply;
+    return make_reply(answer);
 }
 
 http_reply cluster::get(int entry, const std::string& path) const
 {
     httplib::Client client(host, this->ports.at("caller:entry" + std::to_string(entry)));
     const auto answer = client.Get(path);
-    http_reply reply;
-    if (!answer)
-        return reply;
-    reply.status = answer->status;
-    reply.body = answer->body;
-    for (const auto& [name, value] : answer->headers)
-        reply.headers[name] = value;
-    return reply;
+    return make_reply(answer);
 }
 
 http_reply cluster::request(int entry, const std::string& id, const std::string& path,
