Never call a request unrun when an earlier attempt may have run

Cause: an idempotent request that went silent was tried again; when the retry was refused, or found no executor, the caller was told did_not_run although the first attempt ran. Found by reading each refusal after a retry. Ruled out: requests not marked idempotent, which are sent again only after proof. Before: the new test is red (no_executor, did_not_run, with one run counted); after: green, the answer is answer_broken, may_have_run.

--- a/libraries/entry/request_service.cpp
+++ b/libraries/entry/request_service.cpp
@@ -205,6 +205,21 @@
 }
 
 executor_answer request_service::run(const caller_request& request, steady_time deadline)
+{
+    bool may_have_run = false;
+    try {
+        return this->run_attempts(request, deadline, may_have_run);
+    }
+    catch (const error& failure) {
+        // The refusal of the last attempt says nothing of the earlier ones.
+        const bool is_called_unrun = find_answer(failure.kind()).ran == execution::did_not_run;
+        if (may_have_run && is_called_unrun)
+            throw error(error_kind::answer_broken, std::string("an earlier attempt may have run; ") + failure.what());
+        throw;
+    }
+}
+
+executor_answer request_service::run_attempts(const caller_request& request, steady_time deadline, bool& may_have_run)
 {
     admission_request admitted = this->make_admission(request, deadline);
     milliseconds freshness = request.forwarded.is_idempotent ? usual_freshness : strict_freshness;
@@ -214,6 +229,7 @@
         const bool is_whole = result.answer.status != 0 && result.answer.ran == execution::ran;
         if (is_whole)
             return std::move(result.answer);
+        may_have_run = may_have_run || result.answer.ran != execution::did_not_run;
         if (is_last)
             fail(result.answer, deadline);
         count_retry(name_outcome(result.answer));
--- a/libraries/entry/request_service.h
+++ b/libraries/entry/request_service.h
@@ -48,6 +48,8 @@
     void note_key(const caller_request& request, KeyOutcome outcome, int status);
     [[noreturn]] void refuse_key(const caller_request& request) const;
     executor_answer run(const caller_request& request, steady_time deadline);
+    // Sets `may_have_run` when an attempt that got no whole answer may have run.
+    executor_answer run_attempts(const caller_request& request, steady_time deadline, bool& may_have_run);
     // Uses a kept connection only if it answered within `freshness`.
     attempt_result try_once(const caller_request& request, const admission_request& admitted, milliseconds freshness,
                             steady_time deadline);
--- a/tests/integration/requests_test.cpp
+++ b/tests/integration/requests_test.cpp
@@ -192,6 +192,21 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_CASE(is_not_called_unrun_when_only_its_last_attempt_was_refused)
+{
+    cluster system({.entries = 1, .executors = 1, .entry_flags = {"--suspect_after_ms=300"}});
+    system.publish(system.make_configuration());
+    http_reply reply;
+    std::thread caller([&] {
+        reply =
+            system.request(0, "twice", "/run/1500", {{"Wigeon-Idempotent", "true"}, {"Wigeon-Deadline-Ms", "1200"}});
+    });
+    cluster::wait_until([&] { return system.read_request_runs().contains("twice"); }, milliseconds(5'000), "the run");
+    system.set_executor("all", "refuse=1");
+    caller.join();
+    BOOST_TEST(execution_of(reply) == "may_have_run", reply.body);
+}
+
 BOOST_AUTO_TEST_SUITE(an_answer)
 
 BOOST_AUTO_TEST_CASE(is_whole_or_an_error)
