Open a connection to each executor before the silent-connection test freezes them

The proxy freezes connections that are open; four warm requests, spread by two random choices, all go to one executor in one run of eight or so, and 'late' then may take a new connection to the other, which works at once: no silence, so no retry to count. Ruled out: the answer was 200 and in time in that run, so detection itself did not fail. Change: the test warms until each executor has received a request; the check stays as strict. The parsing of the executors' loads, which the leaving test held inline, moved to the harness.

--- a/tests/integration/requests_test.cpp
+++ b/tests/integration/requests_test.cpp
@@ -273,8 +273,13 @@
     cluster system(
         {.entries = 1, .executors = 2, .entry_flags = {"--probe_interval_ms=60000", "--suspect_after_ms=400"}});
     system.publish(system.make_configuration());
-    for (int i = 0; i < 4; ++i)
-        system.request(0, "warm-" + std::to_string(i), "/run/1", {{"Wigeon-Idempotent", "true"}});
+    // Each executor needs an open connection before the fault, or the request may start on a new one and meet no silence.
+    int sent = 0;
+    const auto is_each_connected = [&] {
+        system.request(0, "warm-" + std::to_string(sent++), "/run/1", {{"Wigeon-Idempotent", "true"}});
+        return system.count_received(0) > 0 && system.count_received(1) > 0;
+    };
+    cluster::wait_until(is_each_connected, milliseconds(5'000), "a connection to each executor");
     system.set_fault("all:executor", "freeze");
     const steady_time begin = read_steady_clock();
     const http_reply reply = system.request(0, "late", "/run/1", {{"Wigeon-Idempotent", "true"}});
@@ -291,23 +296,14 @@
 {
     cluster system({.executors = 2});
     system.publish(system.make_configuration());
-    const auto count_received = [&] {
-        std::istringstream text(system.read_executor_loads());
-        int in_use = 0;
-        int most = 0;
-        int over = 0;
-        int received = 0;
-        text >> in_use >> most >> over >> received;
-        return received;
-    };
     caller_book book;
     run_callers(system, book, 4, 20, "/run/1");
-    BOOST_TEST(count_received() > 0);
+    BOOST_TEST(system.count_received(0) > 0);
     system.set_host_leaving("e0", true);
     std::this_thread::sleep_for(milliseconds(5'000));
-    const int before = count_received();
+    const int before = system.count_received(0);
     run_callers(system, book, 4, 40, "/run/1");
-    BOOST_TEST(count_received() == before);
+    BOOST_TEST(system.count_received(0) == before);
 }
 
 BOOST_AUTO_TEST_CASE(an_entry_cuts_off_nothing_in_flight)
--- a/tests/support/cluster.cpp
+++ b/tests/support/cluster.cpp
@@ -437,6 +437,15 @@
     return answer ? answer->body : "";
 }
 
+int cluster::count_received(int executor) const
+{
+    std::istringstream lines(this->read_executor_loads());
+    std::string line;
+    for (int i = 0; i <= executor; ++i)
+        std::getline(lines, line);
+    return std::stoi(line.substr(line.rfind(' ') + 1));
+}
+
 void cluster::post_form(int port, const std::string& path, const std::string& form) const
 {
     httplib::Client client(host, port);
--- a/tests/support/cluster.h
+++ b/tests/support/cluster.h
@@ -98,6 +98,7 @@
     [[nodiscard]] std::vector<task_run> read_runs() const;
     [[nodiscard]] std::map<std::string, int> read_request_runs() const;
     [[nodiscard]] std::string read_executor_loads() const;
+    [[nodiscard]] int count_received(int executor) const; // Requests that reached the executor since its start.
 
     void set_platform(const std::string& form) const; // e.g. "down=1"
     void set_host_leaving(const std::string& id, bool is_leaving) const;
