Order jobs by the log, bound what accounts keep, and survive a clock that runs ahead

Traced: j89 and j106 of one account arrived in the same millisecond; equal times were ordered by id as text, so j106 took the guarantee first. accepted_at_ms is the clock of the entry besides. Jobs now carry their number in the order of the log. Now 20,000 jobs and 100,000 keys, half of it open to all and half by weight (too_many_jobs, too_many_keys), and no note is written for a request that the queue has no room for. Cause 3: an author whose clock was 2 min ahead made the records of all others stale, for ever. Records are now stamped with the later of clock and log time, and a record moves the log's time by 2 s instead of 30 s. Ruled out: accepted_offset as the order; the property of copies failed with it (offsets differ where copies do).

--- a/libraries/base/error_kind.cpp
+++ b/libraries/base/error_kind.cpp
@@ -25,6 +25,8 @@
      false, 0},
     {error_kind::key_expired, "key_expired", 409, "the key is older than its promise", may_have_run, false, 0},
     {error_kind::never_fits, "never_fits", 422, "the job can never run on this fleet", did_not_run, false, 0},
+    {error_kind::too_many_jobs, "too_many_jobs", 429, "the account has too many jobs", did_not_run, true, 60'000},
+    {error_kind::too_many_keys, "too_many_keys", 429, "the account has too many keys", did_not_run, true, 10'000},
     {error_kind::queue_full, "queue_full", 429, "the queue of the account is full", did_not_run, true, 500},
     {error_kind::deadline_in_queue, "deadline_in_queue", 503, "the deadline passed before the request was sent",
      did_not_run, true, 1000},
--- a/libraries/base/error_kind.h
+++ b/libraries/base/error_kind.h
@@ -24,6 +24,8 @@
     key_may_have_run,
     key_expired,
     never_fits,
+    too_many_jobs,
+    too_many_keys,
     queue_full,
     deadline_in_queue,
     no_executor,
--- a/libraries/entry/caller_api.cpp
+++ b/libraries/entry/caller_api.cpp
@@ -207,8 +207,12 @@
     const std::string header_key = read_key(request);
     if (job.key().empty())
         job.set_key(header_key.empty() ? format_incarnation(draw_incarnation()) : header_key);
-    this->state.read([&job](const replicated_state& current) { check_job_request(current.configuration(), job); });
     const std::string id = make_job_id(job);
+    this->state.read([&](const replicated_state& current) {
+        check_job_request(current.configuration(), job);
+        if (current.find_job(id) == nullptr)
+            current.check_job_room(job.account());
+    });
     const apply_result result = this->state.submit(std::move(record), read_steady_clock() + job_append_limit);
     if (result.outcome != apply_outcome::applied)
         throw error(result.reason.value_or(error_kind::internal), result.detail);
--- a/libraries/entry/request_service.cpp
+++ b/libraries/entry/request_service.cpp
@@ -99,13 +99,18 @@
 // The log decides which of several requests with one key may run, whichever entries they came to.
 void request_service::take_key(const caller_request& request, steady_time deadline)
 {
-    const std::uint64_t now = read_wall_clock_ms();
+    // Keys are forgotten by the log's time, which may run ahead of this clock.
+    const std::uint64_t wall_clock_ms = read_wall_clock_ms();
+    const std::uint64_t now =
+        this->state.read([&](const replicated_state& current) { return current.choose_record_time(wall_clock_ms); });
     const bool is_expired =
         request.first_sent_ms != 0 && request.first_sent_ms + replicated_state::key_lifetime_ms < now;
     if (is_expired)
         throw error(error_kind::key_expired, "Wigeon-First-Sent-Ms: older than the lifetime of keys");
     const bool is_known = this->state.read([&](const replicated_state& current) {
         const KeyState* found = current.find_key(request.account, request.key);
+        if (found == nullptr)
+            current.check_key_room(request.account);
         return found != nullptr && found->outcome() != KEY_NOT_RUN;
     });
     if (is_known)
@@ -123,6 +128,8 @@
         // Nothing was sent to an executor, and this entry will not send it any more.
         throw error(error_kind::log_unavailable, std::string("the key could not be noted: ") + failure.what());
     }
+    if (result.reason == error_kind::too_many_keys)
+        throw error(error_kind::too_many_keys, result.detail);
     if (result.outcome != apply_outcome::applied)
         this->refuse_key(request);
 }
@@ -147,9 +154,11 @@
         const std::lock_guard lock(this->budget_mutex);
         this->budget.note_request();
     }
-    this->make_admission(request, deadline);
+    const admission_request admitted = this->make_admission(request, deadline);
     if (!is_keyed)
         return this->run(request, deadline);
+    // A flood that the queue refuses must not reach the log, which the others need.
+    this->gate.check_room(admitted);
     this->take_key(request, deadline);
     try {
         executor_answer answer = this->run(request, deadline);
--- a/libraries/placement/planning_round.cpp
+++ b/libraries/placement/planning_round.cpp
@@ -64,7 +64,7 @@
     std::stable_sort(waiting.begin(), waiting.end(), [](const waiting_job& a, const waiting_job& b) {
         if (a.job_class->urgent() != b.job_class->urgent())
             return a.job_class->urgent();
-        return a.job->accepted_at_ms() < b.job->accepted_at_ms();
+        return a.job->acceptance() < b.job->acceptance();
     });
     return waiting;
 }
@@ -349,7 +349,7 @@
     const Job* oldest = nullptr;
     for (const waiting_job& entry : waiting) {
         const bool is_due = this->now_ms >= entry.job->accepted_at_ms() + this->options.backfill_grace_ms;
-        const bool is_older = oldest == nullptr || entry.job->accepted_at_ms() < oldest->accepted_at_ms();
+        const bool is_older = oldest == nullptr || entry.job->acceptance() < oldest->acceptance();
         if (entry.job_class->may_borrow() && is_due && is_older)
             oldest = entry.job;
     }
--- a/libraries/routing/admission.cpp
+++ b/libraries/routing/admission.cpp
@@ -6,6 +6,13 @@
 
 namespace wigeon {
 
+void admission::check_room(const admission_request& request) const
+{
+    const std::lock_guard lock(this->mutex);
+    if (!this->queue.has_room(request.account, request.job_class))
+        throw error(error_kind::queue_full, "account '" + request.account + "', class '" + request.job_class + "'");
+}
+
 Executor admission::enter(const admission_request& request)
 {
     std::unique_lock lock(this->mutex);
--- a/libraries/routing/admission.h
+++ b/libraries/routing/admission.h
@@ -27,6 +27,9 @@
 public:
     admission(std::size_t queue_limit, executor_table table) : queue(queue_limit), table(std::move(table)) {}
 
+    // Throws error(queue_full) when the request would be refused at once.
+    void check_room(const admission_request& request) const;
+
     // Waits for a slot of an executor. Throws error(queue_full), error(deadline_in_queue) or error(no_executor).
     Executor enter(const admission_request& request);
 
--- a/libraries/routing/fair_queue.cpp
+++ b/libraries/routing/fair_queue.cpp
@@ -48,6 +48,15 @@
     return true;
 }
 
+bool fair_queue::has_room(std::string_view account, std::string_view job_class) const
+{
+    const auto found = this->accounts.find(account);
+    if (found == this->accounts.end())
+        return true;
+    const auto queue = found->second.classes.find(job_class);
+    return queue == found->second.classes.end() || queue->second.tickets.size() < this->limit;
+}
+
 // Oldest first, but newest first once the oldest has spent half of its time: under overload the old
 // ones will miss their deadlines anyway, and serving them would make the new ones late as well.
 queue_ticket fair_queue::take(class_queue& queue, steady_time now) const
--- a/libraries/routing/fair_queue.h
+++ b/libraries/routing/fair_queue.h
@@ -36,6 +36,8 @@
     // Returns false when the queue of the account and class is full.
     bool push(queue_ticket ticket, queue_weights weights, steady_time now);
 
+    [[nodiscard]] bool has_room(std::string_view account, std::string_view job_class) const;
+
     // The ticket that may go next, charged with its expected cost. Skips tickets whose deadline has passed.
     std::optional<queue_ticket> pop(steady_time now);
 
--- /dev/null
+++ b/libraries/state/account_quota.cpp
@@ -0,0 +1,42 @@
+// Shares of the room of the replicated state.
+
+#include "state/account_quota.h"
+
+#include <algorithm>
+
+namespace wigeon {
+
+void account_quota::add(std::string_view account)
+{
+    ++this->held[std::string(account)];
+    ++this->total;
+}
+
+void account_quota::remove(std::string_view account)
+{
+    const auto found = this->held.find(account);
+    if (found == this->held.end())
+        return;
+    --this->total;
+    if (--found->second == 0)
+        this->held.erase(found);
+}
+
+bool account_quota::has_room(const Configuration& configuration, std::string_view account) const
+{
+    const std::uint64_t half = this->limit / 2;
+    if (this->total < half)
+        return true;
+    std::uint64_t weight = 0;
+    std::uint64_t weight_sum = 0;
+    for (const Account& entry : configuration.accounts()) {
+        weight_sum += entry.weight();
+        if (entry.name() == account)
+            weight = entry.weight();
+    }
+    const auto found = this->held.find(account);
+    const std::uint64_t own = found == this->held.end() ? 0 : found->second;
+    return own < half * weight / std::max<std::uint64_t>(weight_sum, 1);
+}
+
+} // namespace wigeon
--- /dev/null
+++ b/libraries/state/account_quota.h
@@ -0,0 +1,31 @@
+// Bounds what the accounts keep in the replicated state. While less than half of the room is taken anyone may take
+// more; beyond that each account has its share of the other half, by weight, so that a flood of one account neither
+// outgrows the memory of the processes nor shuts the others out.
+
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+
+#include "wigeon.pb.h"
+
+namespace wigeon {
+
+class account_quota {
+public:
+    explicit account_quota(std::uint64_t limit) : limit(limit) {}
+
+    void add(std::string_view account);
+    void remove(std::string_view account);
+
+    [[nodiscard]] bool has_room(const Configuration& configuration, std::string_view account) const;
+
+private:
+    std::uint64_t limit;
+    std::uint64_t total = 0; // At most the limit while the accounts and their weights stay the same.
+    std::map<std::string, std::uint64_t, std::less<>> held;
+};
+
+} // namespace wigeon
--- a/libraries/state/replicated_state.cpp
+++ b/libraries/state/replicated_state.cpp
@@ -34,6 +34,18 @@
     std::erase_if(table, [&](const auto& entry) { return is_expired(entry.second); });
 }
 
+// The same, and gives the room back to the accounts that `read_account` names.
+template <typename Table, typename Predicate, typename Reader>
+void erase_expired(Table& table, Predicate is_expired, account_quota& quota, Reader read_account)
+{
+    std::erase_if(table, [&](const auto& entry) {
+        const bool is_erased = is_expired(entry.second);
+        if (is_erased)
+            quota.remove(read_account(entry.second));
+        return is_erased;
+    });
+}
+
 } // namespace
 
 replicated_state::replicated_state(const SystemState& snapshot)
@@ -44,14 +56,19 @@
       current_holder_address(snapshot.holder_address()),
       lease_ms(snapshot.term_lease_ms()),
       renewal(snapshot.renewal_offset()),
+      accepted_jobs(snapshot.accepted_jobs()),
       current_configuration(snapshot.configuration())
 {
     for (const AuthorState& author : snapshot.authors())
         this->authors.emplace(author.author(), author);
-    for (const Job& job : snapshot.jobs())
+    for (const Job& job : snapshot.jobs()) {
         this->job_table.emplace(job.id(), job);
-    for (const KeyState& key : snapshot.keys())
+        this->job_quota.add(job.request().account());
+    }
+    for (const KeyState& key : snapshot.keys()) {
         this->keys.emplace(key_id(key.account(), key.key()), key);
+        this->key_quota.add(key.account());
+    }
     for (const ConfigurationVerdict& verdict : snapshot.verdicts())
         this->verdicts.emplace(record_id(verdict.author(), verdict.sequence()), verdict);
     for (const QuarantineState& quarantine : snapshot.quarantines())
@@ -70,6 +87,7 @@
     snapshot.set_holder_address(this->current_holder_address);
     snapshot.set_renewal_offset(this->renewal);
     snapshot.set_term_lease_ms(this->lease_ms);
+    snapshot.set_accepted_jobs(this->accepted_jobs);
     *snapshot.mutable_configuration() = this->current_configuration;
     for (const auto& [id, author] : this->authors)
         *snapshot.add_authors() = author;
@@ -86,6 +104,18 @@
     return snapshot;
 }
 
+void replicated_state::check_job_room(std::string_view account) const
+{
+    if (!this->job_quota.has_room(this->current_configuration, account))
+        throw error(error_kind::too_many_jobs, "account: '" + std::string(account) + "' keeps more than its share");
+}
+
+void replicated_state::check_key_room(std::string_view account) const
+{
+    if (!this->key_quota.has_room(this->current_configuration, account))
+        throw error(error_kind::too_many_keys, "account: '" + std::string(account) + "' keeps more than its share");
+}
+
 const Job* replicated_state::find_job(std::string_view id) const
 {
     const auto found = this->job_table.find(id);
@@ -104,6 +134,11 @@
     return found == this->verdicts.end() ? nullptr : &found->second;
 }
 
+std::uint64_t replicated_state::choose_record_time(std::uint64_t wall_clock_ms) const
+{
+    return std::max(wall_clock_ms, this->log_time);
+}
+
 apply_result replicated_state::apply(std::uint64_t offset, std::string_view serialized)
 {
     if (offset != this->next)
@@ -258,11 +293,14 @@
         return;
     }
     check_job_request(this->current_configuration, request);
+    this->check_job_room(request.account());
+    this->job_quota.add(request.account());
     Job& job = this->job_table[id];
     job.set_id(id);
     *job.mutable_request() = request;
     job.set_state(JOB_ACCEPTED);
     job.set_accepted_at_ms(record.time_ms());
+    job.set_acceptance(++this->accepted_jobs);
     job.set_configuration_version(this->current_configuration.version());
 }
 
@@ -289,6 +327,10 @@
         const bool is_free = found == this->keys.end() || found->second.outcome() == KEY_NOT_RUN;
         if (!is_free)
             throw error(error_kind::key_in_progress, "key: '" + note.key() + "' was taken before");
+        if (found == this->keys.end()) {
+            this->check_key_room(note.account());
+            this->key_quota.add(note.account());
+        }
     }
     else if (found == this->keys.end() || found->second.author() != record.author()) {
         throw error(error_kind::key_conflict, "key: '" + note.key() + "' is not held by the author");
@@ -441,11 +483,15 @@
 {
     const std::uint64_t now = this->log_time;
     erase_expired(this->authors, [now](const AuthorState& a) { return a.last_time_ms() + author_lifetime_ms < now; });
-    erase_expired(this->keys, [now](const KeyState& k) { return k.time_ms() + key_lifetime_ms < now; });
+    erase_expired(
+        this->keys, [now](const KeyState& k) { return k.time_ms() + key_lifetime_ms < now; }, this->key_quota,
+        [](const KeyState& k) { return k.account(); });
     erase_expired(this->verdicts,
                   [now](const ConfigurationVerdict& v) { return v.time_ms() + verdict_lifetime_ms < now; });
-    erase_expired(this->job_table,
-                  [now](const Job& job) { return is_ended(job.state()) && job.ended_at_ms() + job_lifetime_ms < now; });
+    erase_expired(
+        this->job_table,
+        [now](const Job& job) { return is_ended(job.state()) && job.ended_at_ms() + job_lifetime_ms < now; },
+        this->job_quota, [](const Job& job) { return job.request().account(); });
     erase_expired(this->quarantine_of_worker, [now](const QuarantineState& q) { return q.until_ms() < now; });
 }
 
--- a/libraries/state/replicated_state.h
+++ b/libraries/state/replicated_state.h
@@ -11,6 +11,7 @@
 
 #include "base/error_kind.h"
 #include "placement/guarantee_binding.h"
+#include "state/account_quota.h"
 #include "wigeon.pb.h"
 
 namespace wigeon {
@@ -42,8 +43,11 @@
     static constexpr std::uint64_t key_lifetime_ms = 600'000;
     static constexpr std::uint64_t job_lifetime_ms = 24ULL * 3'600'000;
     static constexpr std::uint64_t verdict_lifetime_ms = 600'000;
+    // Jobs and keys that are kept, the ended ones included; the memory of a process follows them.
+    static constexpr std::uint64_t kept_jobs_limit = 20'000;
+    static constexpr std::uint64_t kept_keys_limit = 100'000;
     // One author with a wrong clock moves the log's time by at most this much with each record.
-    static constexpr std::uint64_t clock_step_limit_ms = 30'000;
+    static constexpr std::uint64_t clock_step_limit_ms = 2'000;
 
     using key_id = std::pair<std::string, std::string>;
     using record_id = std::pair<std::uint64_t, std::uint64_t>;
@@ -60,6 +64,9 @@
     // Rises with each record that a placement may depend on. Local: not part of the replicated state.
     [[nodiscard]] std::uint64_t placement_changes() const { return this->changes; }
     [[nodiscard]] std::uint64_t log_time_ms() const { return this->log_time; }
+    // The time for a new record. Never behind the log's own time, so that an author with a clock ahead, which takes
+    // the log's time along, does not make the records of all others count as too old.
+    [[nodiscard]] std::uint64_t choose_record_time(std::uint64_t wall_clock_ms) const;
     [[nodiscard]] std::uint64_t term() const { return this->current_term; }
     [[nodiscard]] std::uint64_t holder() const { return this->current_holder; }
     [[nodiscard]] std::uint64_t renewal_offset() const { return this->renewal; }
@@ -72,6 +79,9 @@
     {
         return this->quarantine_of_worker;
     }
+    // Throw error(too_many_jobs) and error(too_many_keys) when the account may keep no further one.
+    void check_job_room(std::string_view account) const;
+    void check_key_room(std::string_view account) const;
     [[nodiscard]] const Job* find_job(std::string_view id) const;
     [[nodiscard]] const KeyState* find_key(const std::string& account, const std::string& key) const;
     [[nodiscard]] const ConfigurationVerdict* find_verdict(std::uint64_t author, std::uint64_t sequence) const;
@@ -103,10 +113,13 @@
     std::string current_holder_address;
     std::uint64_t lease_ms = 0;          // Of the newest renewal or claim.
     std::uint64_t renewal = 0;           // Offset of the holder's newest renewal or claim.
+    std::uint64_t accepted_jobs = 0;     // Never falls.
     Configuration current_configuration; // Its version never falls.
     std::map<std::uint64_t, AuthorState> authors;
     std::map<std::string, Job, std::less<>> job_table;
     std::map<key_id, KeyState> keys;
+    account_quota job_quota{kept_jobs_limit}; // Of job_table.
+    account_quota key_quota{kept_keys_limit}; // Of keys.
     std::map<record_id, ConfigurationVerdict> verdicts;
     std::map<std::string, QuarantineState, std::less<>> quarantine_of_worker;
     binding_table binding_of_account;
--- a/tests/state/replicated_state_test.cpp
+++ b/tests/state/replicated_state_test.cpp
@@ -138,7 +138,8 @@
     Record renewal;
     renewal.mutable_renewal()->set_term(9);
     std::uint64_t time_ms = 1'000'000;
-    for (int i = 0; i < 60; ++i)
+    constexpr std::uint64_t steps = replicated_state::author_lifetime_ms / replicated_state::clock_step_limit_ms;
+    for (std::uint64_t i = 0; i < 2 * steps; ++i)
         other.write(state, renewal, time_ms += replicated_state::clock_step_limit_ms);
     BOOST_TEST(state.make_snapshot().authors_size() == 1);
     BOOST_TEST((state.apply(state.next_offset(), old.SerializeAsString()).outcome == apply_outcome::stale));
@@ -146,6 +147,68 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(room_in_the_state)
+
+BOOST_AUTO_TEST_CASE(is_bounded_and_each_account_has_its_share)
+{
+    check_property("the total stays within the limit, and an account below its share always has room", [] {
+        Configuration configuration = make_small_configuration(1, 1, 3, 0);
+        for (Account& account : *configuration.mutable_accounts())
+            account.set_weight(*rc::gen::inRange<std::uint32_t>(1, 10));
+        constexpr std::uint64_t limit = 60;
+        account_quota quota(limit);
+        std::map<std::string, std::uint64_t> held;
+        std::uint64_t total = 0;
+        std::uint64_t weight_sum = 0;
+        for (const Account& account : configuration.accounts())
+            weight_sum += account.weight();
+        for (int i = 0; i < 200; ++i) {
+            const Account& account = configuration.accounts(*rc::gen::inRange(0, 3));
+            std::uint64_t& own = held[account.name()];
+            if (own > 0 && *rc::gen::inRange(0, 4) == 0) {
+                quota.remove(account.name());
+                --own;
+                --total;
+                continue;
+            }
+            const bool has_room = quota.has_room(configuration, account.name());
+            RC_ASSERT(has_room || own >= limit / 2 * account.weight() / weight_sum);
+            if (!has_room)
+                continue;
+            quota.add(account.name());
+            ++own;
+            ++total;
+            RC_ASSERT(total <= limit);
+        }
+    });
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(an_author_whose_clock_is_an_hour_ahead)
+
+BOOST_AUTO_TEST_CASE(does_not_make_the_records_of_the_others_too_old)
+{
+    constexpr std::uint64_t hour_ms = 3'600'000;
+    replicated_state state;
+    writer ahead(1);
+    writer correct(2);
+    correct.write(state, make_change(0, make_small_configuration(1, 2, 1, 0)));
+    Record renewal;
+    renewal.mutable_renewal()->set_term(9);
+    std::uint64_t wall_clock_ms = 1'000'000;
+    for (int i = 0; i < 3'000; ++i) {
+        wall_clock_ms += 400;
+        ahead.write(state, renewal, state.choose_record_time(wall_clock_ms + hour_ms));
+    }
+    BOOST_TEST(state.log_time_ms() >= wall_clock_ms + hour_ms - 400);
+    const apply_result result =
+        correct.write(state, make_submit(make_job("a0", "k", 1, 1)), state.choose_record_time(wall_clock_ms));
+    BOOST_TEST((result.outcome == apply_outcome::applied));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(operators_that_race)
 
 BOOST_AUTO_TEST_CASE(get_one_acceptance_and_one_conflict_that_names_the_version)
@@ -227,6 +290,37 @@
 
 BOOST_AUTO_TEST_SUITE(jobs_and_keys)
 
+BOOST_AUTO_TEST_CASE(keep_the_order_of_the_log_whatever_the_clocks_of_the_entries_say)
+{
+    replicated_state state;
+    writer behind(1);
+    writer ahead(2);
+    behind.write(state, make_change(0, make_small_configuration(1, 2, 1, 0)));
+    ahead.write(state, make_submit(make_job("a0", "first", 1, 1)), 1'060'000);
+    behind.write(state, make_submit(make_job("a0", "second", 1, 1)), 1'000'000);
+    BOOST_TEST(state.find_job("a0/first")->acceptance() < state.find_job("a0/second")->acceptance());
+}
+
+BOOST_AUTO_TEST_CASE(of_a_flooding_account_are_refused_while_the_others_have_room)
+{
+    replicated_state state;
+    writer author(1);
+    author.write(state, make_change(0, make_small_configuration(1, 2, 2, 0)));
+    const auto submit = [&](const std::string& account, std::uint64_t number) {
+        return author.write(state, make_submit(make_job(account, "k" + std::to_string(number), 1, 1)));
+    };
+    std::uint64_t accepted = 0;
+    while (submit("a0", accepted).outcome == apply_outcome::applied)
+        ++accepted;
+    BOOST_TEST(accepted == replicated_state::kept_jobs_limit / 2);
+    BOOST_TEST((submit("a0", accepted).reason == error_kind::too_many_jobs));
+    BOOST_TEST((submit("a0", 0).outcome == apply_outcome::applied)); // Known already: nothing is added.
+    BOOST_TEST((submit("a1", 0).outcome == apply_outcome::applied));
+    const replicated_state restored(state.make_snapshot());
+    BOOST_CHECK_THROW(restored.check_job_room("a0"), error);
+    restored.check_job_room("a1");
+}
+
 BOOST_AUTO_TEST_CASE(are_accepted_once_for_each_key)
 {
     replicated_state state;
