Answer appends at their deadlines while the log swallows its answers, and follow a slow log

Cause: the appending thread kept a batch whose answer was lost and left all later records in the ring, whose callers waited until the log came back; ten minutes of that hold every caller thread of an entry. Records behind a stuck batch now end at their deadlines, and submit() itself never waits longer than the deadline and one call. A status of 503 no longer counts as proof that the append had no effect: a void settles it. Reads and appends slower than log_timeout_ms failed always; the limit now doubles up to 10 s after a call that ran out of time and follows the time of the answers.

--- a/libraries/platform/http_log_service.cpp
+++ b/libraries/platform/http_log_service.cpp
@@ -20,6 +20,12 @@
         this->client.set_write_timeout(timeout);
     }
 
+    void set_time_limit(milliseconds limit) override
+    {
+        this->timeout = limit;
+        this->client.set_write_timeout(limit);
+    }
+
     std::uint64_t append(std::string_view stream, std::span<const std::string> records) override
     {
         RecordBatch batch;
@@ -54,7 +60,7 @@
                                  answer.error() == httplib::Error::Connection);
         }
         if (answer->status != 200 || !message.ParseFromString(answer->body))
-            throw log_call_error("log service: status " + std::to_string(answer->status), answer->status == 503);
+            throw log_call_error("log service: status " + std::to_string(answer->status), false);
     }
 
     httplib::Client client;
--- a/libraries/platform/log_service.h
+++ b/libraries/platform/log_service.h
@@ -32,6 +32,9 @@
 
     virtual ~log_service() = default;
 
+    // Bounds the later calls, beside the time for which a read waits.
+    virtual void set_time_limit(milliseconds limit) = 0;
+
     // Appends the records in order and returns the offset of the first one. An append that fails may
     // still take effect unless the error says is_unsent().
     virtual std::uint64_t append(std::string_view stream, std::span<const std::string> records) = 0;
--- a/libraries/replica/replica.cpp
+++ b/libraries/replica/replica.cpp
@@ -2,6 +2,9 @@
 
 #include "replica/replica.h"
 
+#include <iterator>
+
+#include "base/adaptive_limit.h"
 #include "base/logging.h"
 #include "base/metrics.h"
 #include "base/network.h"
@@ -15,6 +18,10 @@
 constexpr milliseconds pause_after_failure{100};
 constexpr milliseconds ring_wait{200};
 constexpr std::size_t batch_limit = 256;
+constexpr milliseconds longest_log_call{10'000};
+constexpr milliseconds snapshot_call_limit{30'000};
+// Beyond the deadline and one call, a caller is not kept waiting for the settling of its record.
+constexpr milliseconds settle_margin{1'000};
 
 void fail(std::promise<apply_result>& outcome, error_kind kind, const std::string& detail)
 {
@@ -49,6 +56,11 @@
     for (const auto& [sequence, pending] : this->unread)
         fail(pending->outcome, error_kind::log_uncertain, "the process stopped before the record was read back");
     this->unread.clear();
+    while (this->take_append(milliseconds(0))) {
+    }
+    for (const pending_pointer& pending : this->backlog)
+        fail(pending->outcome, error_kind::log_unavailable, "the process stopped before the record was sent");
+    this->backlog.clear();
 }
 
 steady_time replica::last_log_answer() const
@@ -59,7 +71,11 @@
 
 apply_result replica::submit(Record record, steady_time deadline)
 {
-    return this->submit_later(std::move(record), deadline).get();
+    std::future<apply_result> outcome = this->submit_later(std::move(record), deadline);
+    const steady_time end = deadline + this->options.log_timeout + settle_margin;
+    if (outcome.wait_until(end) != std::future_status::ready)
+        throw error(error_kind::log_uncertain, "the record was not settled in time");
+    return outcome.get();
 }
 
 std::future<apply_result> replica::submit_later(Record record, steady_time deadline)
@@ -112,7 +128,8 @@
 {
     const SystemState snapshot = this->read([](const replicated_state& current) { return current.make_snapshot(); });
     const std::string serialized = snapshot.SerializeAsString();
-    const auto log = make_http_log_service(this->options.log_address, this->options.log_timeout);
+    // A long limit: each append that is given up too early would burden a slow log with the same snapshot again.
+    const auto log = make_http_log_service(this->options.log_address, snapshot_call_limit);
     log->append(snapshot_stream, std::span(&serialized, 1));
     process_metrics().count("wigeon_snapshots_written_total");
     process_metrics().set_gauge("wigeon_snapshot_bytes", static_cast<double>(serialized.size()));
@@ -153,9 +170,12 @@
 void replica::run_tail()
 {
     const auto log = make_http_log_service(this->options.log_address, this->options.log_timeout);
+    adaptive_limit limit(this->options.log_timeout, longest_log_call);
     bool is_restored = false;
     bool is_reachable = true;
     while (!this->stopping) {
+        log->set_time_limit(limit.current());
+        const steady_time begin = read_steady_clock();
         try {
             if (!is_restored) {
                 is_restored = this->restore(*log);
@@ -166,6 +186,7 @@
             }
             const std::uint64_t next = this->read([](const replicated_state& s) { return s.next_offset(); });
             const LogPage page = log->read(main_stream, next, tail_wait);
+            limit.note_answer(elapsed_ms(begin, read_steady_clock()));
             {
                 const std::lock_guard lock(this->change_mutex);
                 this->log_answer = read_steady_clock();
@@ -182,6 +203,7 @@
         }
         catch (const log_call_error& failure) {
             count_retry("log_read");
+            limit.note_failure(elapsed_ms(begin, read_steady_clock()));
             if (is_reachable)
                 log_change("log_unreachable", {{"detail", failure.what()}});
             is_reachable = false;
@@ -256,24 +278,43 @@
     }
 }
 
+// Moves one record from the ring to the backlog. Returns false when none comes within the limit.
+bool replica::take_append(milliseconds limit)
+{
+    if (this->backlog.size() >= ring_capacity)
+        return false;
+    auto next = this->appends.pop(limit);
+    if (!next)
+        return false;
+    this->backlog.push_back(std::move(*next));
+    return true;
+}
+
 std::vector<replica::pending_pointer> replica::gather()
 {
-    std::vector<pending_pointer> batch;
-    auto first = this->appends.pop(ring_wait);
-    if (!first)
-        return batch;
-    batch.push_back(std::move(*first));
+    if (this->backlog.empty() && !this->take_append(ring_wait))
+        return {};
     const steady_time end = read_steady_clock() + this->options.append_window;
-    while (batch.size() < batch_limit) {
+    while (this->backlog.size() < batch_limit) {
         const steady_time now = read_steady_clock();
-        auto next = this->appends.pop(now < end ? elapsed_ms(now, end) : milliseconds(0));
-        if (!next)
+        if (!this->take_append(now < end ? elapsed_ms(now, end) : milliseconds(0)))
             break;
-        batch.push_back(std::move(*next));
     }
+    const auto count = static_cast<std::ptrdiff_t>(std::min(this->backlog.size(), batch_limit));
+    const auto begin = this->backlog.begin();
+    std::vector<pending_pointer> batch(std::make_move_iterator(begin), std::make_move_iterator(begin + count));
+    this->backlog.erase(begin, begin + count);
     return batch;
 }
 
+// While a batch waits for its answer, the records behind it still end at their deadlines.
+void replica::expire_backlog()
+{
+    while (this->take_append(milliseconds(0))) {
+    }
+    this->drop_expired(this->backlog);
+}
+
 // Records that never left this process are dropped at their deadline; those that may be in the log are
 // replaced by a void of the same sequence, so that the log decides which of the two takes effect.
 void replica::drop_expired(std::vector<pending_pointer>& batch)
@@ -310,21 +351,24 @@
     });
 }
 
-bool replica::append_batch(log_service& log, std::vector<pending_pointer>& batch)
+bool replica::append_batch(log_service& log, adaptive_limit& limit, std::vector<pending_pointer>& batch)
 {
     std::vector<std::string> records;
     records.reserve(batch.size());
     for (const pending_pointer& pending : batch)
         records.push_back(pending->record.SerializeAsString());
+    log.set_time_limit(limit.current());
     const steady_time begin = read_steady_clock();
     try {
         log.append(main_stream, records);
+        const milliseconds taken = elapsed_ms(begin, read_steady_clock());
+        limit.note_answer(taken);
         process_metrics().count("wigeon_appends_total");
-        process_metrics().observe_ms("wigeon_append_ms",
-                                     static_cast<double>(elapsed_ms(begin, read_steady_clock()).count()));
+        process_metrics().observe_ms("wigeon_append_ms", static_cast<double>(taken.count()));
         return true;
     }
     catch (const log_call_error& failure) {
+        limit.note_failure(elapsed_ms(begin, read_steady_clock()));
         for (const pending_pointer& pending : batch)
             pending->is_sent = pending->is_sent || !failure.is_unsent();
         count_retry(failure.is_unsent() ? "log_append_unsent" : "log_append_uncertain");
@@ -335,27 +379,39 @@
 void replica::run_appender()
 {
     const auto log = make_http_log_service(this->options.log_address, this->options.log_timeout);
+    adaptive_limit limit(this->options.log_timeout, longest_log_call);
     while (!this->stopping || !this->appends.is_closed()) {
         std::vector<pending_pointer> batch = this->gather();
         if (batch.empty() && this->appends.is_closed())
             return;
         this->drop_expired(batch);
+        const std::uint64_t time_ms = this->choose_record_time();
         for (const pending_pointer& pending : batch) {
             pending->record.set_author(this->author);
             pending->record.set_sequence(++this->last_sequence);
-            pending->record.set_time_ms(read_wall_clock_ms());
+            pending->record.set_time_ms(time_ms);
             const std::lock_guard lock(this->unread_mutex);
             this->unread.emplace(pending->record.sequence(), pending);
         }
         // Later records wait until this batch is settled, so that the sequences reach the log in order.
-        while (!batch.empty() && !this->append_batch(*log, batch)) {
+        while (!batch.empty() && !this->append_batch(*log, limit, batch)) {
             if (this->stopping)
                 return;
             std::this_thread::sleep_for(pause_after_failure);
             this->drop_settled(batch);
             this->drop_expired(batch);
+            this->expire_backlog();
         }
     }
 }
 
+std::uint64_t replica::choose_record_time() const
+{
+    const std::uint64_t wall_clock_ms = read_wall_clock_ms();
+    const std::uint64_t chosen =
+        this->read([&](const replicated_state& current) { return current.choose_record_time(wall_clock_ms); });
+    process_metrics().set_gauge("wigeon_log_clock_ahead_ms", static_cast<double>(chosen - wall_clock_ms));
+    return chosen;
+}
+
 } // namespace wigeon
--- a/libraries/replica/replica.h
+++ b/libraries/replica/replica.h
@@ -4,7 +4,6 @@
 #pragma once
 
 #include <atomic>
-#include <deque>
 #include <functional>
 #include <future>
 #include <map>
@@ -13,6 +12,7 @@
 #include <string>
 #include <thread>
 
+#include "base/adaptive_limit.h"
 #include "base/bounded_ring.h"
 #include "base/time.h"
 #include "platform/log_service.h"
@@ -92,7 +92,10 @@
     void resolve(const apply_result& result);
     void run_appender();
     std::vector<pending_pointer> gather();
-    bool append_batch(log_service& log, std::vector<pending_pointer>& batch);
+    bool take_append(milliseconds limit);
+    void expire_backlog();
+    bool append_batch(log_service& log, adaptive_limit& limit, std::vector<pending_pointer>& batch);
+    [[nodiscard]] std::uint64_t choose_record_time() const;
     void drop_settled(std::vector<pending_pointer>& batch);
     void drop_expired(std::vector<pending_pointer>& batch);
     void expire_unread();
@@ -116,6 +119,8 @@
     std::map<std::uint64_t, pending_pointer> unread; // By sequence: appended, but not read back yet.
     std::uint64_t ready_offset = 0;                  // Owned by the tailing thread.
     std::uint64_t last_sequence = 0;                 // Owned by the appending thread.
+    // Taken from the ring, without a sequence yet; at most ring_capacity. Owned by the appending thread.
+    std::vector<pending_pointer> backlog;
 
     std::atomic<bool> ready = false;
     std::atomic<bool> stopping = false;
--- a/tests/stand_ins/platform.cpp
+++ b/tests/stand_ins/platform.cpp
@@ -1,6 +1,6 @@
 // Stand-in for the platform's log service and host list: streams with offsets, limited retention, and outages.
-// POST /control with the form fields down, slow_ms, drop_answers and keep changes its behaviour while it runs;
-// POST /hosts with id and leaving changes the host list.
+// POST /control with the form fields down, slow_ms, slow_read_ms, drop_answers and keep changes its behaviour while it
+// runs; POST /hosts with id and leaving changes the host list.
 
 #include <atomic>
 #include <condition_variable>
@@ -64,6 +64,7 @@
         };
         set("down", this->down);
         set("slow_ms", this->slow_ms);
+        set("slow_read_ms", this->slow_read_ms);
         set("drop_answers", this->drop_answers);
         if (!request.has_param("keep"))
             return;
@@ -106,6 +107,7 @@
     {
         const std::uint64_t from = std::stoull(request.get_param_value("from"));
         const milliseconds wait(std::stoul(request.get_param_value("wait_ms")));
+        std::this_thread::sleep_for(milliseconds(this->slow_read_ms));
         std::unique_lock lock(this->mutex);
         if (this->down != 0) {
             answer.status = 503;
@@ -131,7 +133,8 @@
     std::map<std::string, stream> streams;
     HostList hosts;
     std::atomic<int> down = 0;
-    std::atomic<int> slow_ms = 0;
+    std::atomic<int> slow_ms = 0;      // Before each append.
+    std::atomic<int> slow_read_ms = 0; // Before each read.
     std::atomic<int> drop_answers = 0;
     std::atomic<std::uint64_t> appends = 0;
     std::atomic<std::uint64_t> bytes_read = 0;
