Let a holder that reaches no worker give way; prove zone loss, two deaths and a wave of 1,000

Cause: a scheduler cut off from the workers only kept renewing its term, so that nothing started or stopped. It now steps down when all workers it asked were silent for 1.9 s and another scheduler lives, rests for 10 s, and claims later than others meanwhile. Ruled out: judging reachability before a claim, which needs pings from every standby. Gauges name unmet guarantee cells, unreachable and quarantined workers.

--- a/libraries/scheduling/gang_driver.cpp
+++ b/libraries/scheduling/gang_driver.cpp
@@ -15,6 +15,8 @@
 // It is no proof: the job waits again only when the leases have lapsed.
 constexpr std::uint32_t refusal_limit = 3;
 constexpr milliseconds message_lifetime{500};
+// One silent worker alone says nothing of the way to the others.
+constexpr std::size_t cut_off_workers = 2;
 // A finished task is noticed within this fraction of the time that its job ran.
 constexpr int report_delay_divisor = 20;
 
@@ -453,6 +455,22 @@
     return decisions;
 }
 
+bool gang_driver::is_cut_off(steady_time now, milliseconds limit) const
+{
+    std::size_t asked = 0;
+    for (const auto& [worker, contact] : this->contacts) {
+        // A worker that left the configuration is no longer asked.
+        const bool is_asked =
+            contact.sent_at != steady_time{} && now - contact.sent_at <= this->options.ping_interval + limit;
+        if (!is_asked)
+            continue;
+        if (!contact.is_silent || now - contact.silent_since < limit)
+            return false;
+        ++asked;
+    }
+    return asked >= cut_off_workers;
+}
+
 std::vector<std::string> gang_driver::list_silent(steady_time now, milliseconds limit) const
 {
     std::vector<std::string> silent;
--- a/libraries/scheduling/gang_driver.h
+++ b/libraries/scheduling/gang_driver.h
@@ -62,6 +62,10 @@
     // Workers without an answer for at least this long, among those that were asked.
     [[nodiscard]] std::vector<std::string> list_silent(steady_time now, milliseconds limit) const;
 
+    // True when several workers were asked and none answered for at least the limit: the fault is then more likely
+    // on this side.
+    [[nodiscard]] bool is_cut_off(steady_time now, milliseconds limit) const;
+
     // True when a worker answered that a newer term is in force.
     [[nodiscard]] bool is_fenced() const { return this->fenced; }
 
--- a/libraries/scheduling/http_worker_service.cpp
+++ b/libraries/scheduling/http_worker_service.cpp
@@ -13,7 +13,7 @@
 
 class http_worker_service : public worker_service {
 public:
-    explicit http_worker_service(milliseconds timeout) : timeout(timeout) {}
+    http_worker_service(milliseconds timeout, std::string source) : timeout(timeout), source(std::move(source)) {}
 
     worker_answer send(const std::string& address, const WorkerOrders& orders) override
     {
@@ -40,6 +40,8 @@
             auto client = std::make_unique<httplib::Client>(parsed.host, parsed.port);
             client->set_keep_alive(true);
             client->set_tcp_nodelay(true);
+            if (!this->source.empty())
+                client->set_interface(this->source);
             client->set_connection_timeout(this->timeout);
             client->set_read_timeout(this->timeout);
             client->set_write_timeout(this->timeout);
@@ -49,14 +51,15 @@
     }
 
     const milliseconds timeout;
+    const std::string source;
     std::map<std::string, std::unique_ptr<httplib::Client>> clients;
 };
 
 } // namespace
 
-std::unique_ptr<worker_service> make_http_worker_service(milliseconds timeout)
+std::unique_ptr<worker_service> make_http_worker_service(milliseconds timeout, std::string source)
 {
-    return std::make_unique<http_worker_service>(timeout);
+    return std::make_unique<http_worker_service>(timeout, std::move(source));
 }
 
 } // namespace wigeon
--- a/libraries/scheduling/scheduler_loop.cpp
+++ b/libraries/scheduling/scheduler_loop.cpp
@@ -19,7 +19,10 @@
 // Without a change of the state, time alone may allow a placement: a quarantine ends, a worker comes back.
 constexpr milliseconds longest_plan_interval{500};
 constexpr std::uint64_t jitter_limit_ms = 300;
+constexpr milliseconds snapshot_retry_pause{5'000};
 constexpr std::uint32_t backfill_off_s = 86'400;
+// Two unanswered calls to each worker, and less than a lease of a task.
+constexpr milliseconds cut_off_after{1'900};
 
 term_options make_term_options(const SchedulerSettings& settings, std::uint64_t incarnation)
 {
@@ -75,15 +78,18 @@
 
 } // namespace
 
-scheduler_loop::scheduler_loop(const SchedulerSettings& settings, std::string operator_address, replica& state)
+scheduler_loop::scheduler_loop(const SchedulerSettings& settings, std::string operator_address, replica& state,
+                               std::function<bool()> has_standby)
     : settings(settings),
       operator_address(std::move(operator_address)),
       state(state),
+      has_standby(std::move(has_standby)),
       keeper(state.incarnation(), make_term_options(settings, state.incarnation())),
       job_planner(make_placement_policy(settings.placement_policy()), make_planner_options(settings)),
       driver(make_gang_options(settings)),
-      workers(settings.worker_threads(),
-              [&settings] { return make_http_worker_service(milliseconds(settings.worker_timeout_ms())); })
+      workers(settings.worker_threads(), [&settings] {
+          return make_http_worker_service(milliseconds(settings.worker_timeout_ms()), settings.worker_source_address());
+      })
 {
 }
 
@@ -132,6 +138,7 @@
         this->settle_term();
         this->take_results();
         const steady_time now = read_steady_clock();
+        this->give_way(now);
         this->keep_term(now);
         this->drive(now);
         this->decide(now);
@@ -188,6 +195,16 @@
     }
 }
 
+// A holder that reaches no worker keeps the term from one that may.
+void scheduler_loop::give_way(steady_time now)
+{
+    if (!this->keeper.may_act(now) || !this->driver.is_cut_off(now, cut_off_after) || !this->has_standby())
+        return;
+    this->keeper.step_down(now);
+    process_metrics().count("wigeon_terms_given_up_total");
+    log_change("term_given_up", {{"term", std::to_string(this->keeper.term())}, {"cause", "no worker answers"}});
+}
+
 void scheduler_loop::drive(steady_time now)
 {
     if (this->driven_term != this->keeper.term()) {
@@ -251,6 +268,7 @@
         this->unreachable = unreachable_now;
         gone.insert(this->leaving.begin(), this->leaving.end());
     }
+    this->publish_gauges(current, unreachable_now);
     plan made = this->job_planner.make_plan(current, unreachable_now, gone, read_wall_clock_ms());
     const steady_time end = read_steady_clock();
     process_metrics().observe_ms("wigeon_plan_ms", std::chrono::duration<double, std::milli>(end - now).count());
@@ -259,6 +277,16 @@
     return std::move(made.decisions);
 }
 
+// What an operator must see of the fleet; set by the holder.
+void scheduler_loop::publish_gauges(const replicated_state& current, const worker_set& unreachable_now) const
+{
+    process_metrics().set_gauge("wigeon_unreachable_workers", static_cast<double>(unreachable_now.size()));
+    process_metrics().set_gauge("wigeon_quarantined_workers", static_cast<double>(current.quarantines().size()));
+    for (const auto& [account, binding] : current.bindings())
+        process_metrics().set_gauge("wigeon_unmet_guarantee_cells{account=\"" + account + "\"}",
+                                    static_cast<double>(binding.unmet_cells()));
+}
+
 void scheduler_loop::write_decisions(std::vector<Decision> decisions, steady_time now)
 {
     Record record;
@@ -302,7 +330,7 @@
         }
         catch (const log_call_error&) {
             count_retry("snapshot");
-            next = now + std::chrono::seconds(1);
+            next = now + snapshot_retry_pause;
         }
     }
 }
--- a/libraries/scheduling/scheduler_loop.h
+++ b/libraries/scheduling/scheduler_loop.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <atomic>
+#include <functional>
 #include <future>
 #include <map>
 #include <mutex>
@@ -24,7 +25,9 @@
 
 class scheduler_loop {
 public:
-    scheduler_loop(const SchedulerSettings& settings, std::string operator_address, replica& state);
+    // `has_standby` tells whether another scheduler lives.
+    scheduler_loop(const SchedulerSettings& settings, std::string operator_address, replica& state,
+                   std::function<bool()> has_standby);
     ~scheduler_loop();
 
     scheduler_loop(const scheduler_loop&) = delete;
@@ -53,6 +56,8 @@
     void settle_term();
     void take_results();
     void drive(steady_time now);
+    void give_way(steady_time now);
+    void publish_gauges(const replicated_state& current, const worker_set& unreachable_now) const;
     void decide(steady_time now);
     void write_decisions(std::vector<Decision> decisions, steady_time now);
     bool is_decision_pending();
@@ -61,6 +66,7 @@
     const SchedulerSettings settings;
     const std::string operator_address;
     replica& state;
+    const std::function<bool()> has_standby;
     term_keeper keeper;
     planner job_planner;
     gang_driver driver;
--- a/libraries/scheduling/term_keeper.cpp
+++ b/libraries/scheduling/term_keeper.cpp
@@ -33,17 +33,26 @@
 {
     if (!this->is_started || this->pending_since)
         return term_action::nothing;
-    if (this->is_holder())
-        return now - this->last_renewal >= this->options.renewal_interval ? term_action::renew : term_action::nothing;
+    if (this->is_holder()) {
+        const bool is_due = now - this->last_renewal >= this->options.renewal_interval;
+        return is_due && !this->is_resting(now) ? term_action::renew : term_action::nothing;
+    }
     if (now - this->last_log_answer > log_answer_limit)
         return term_action::nothing;
     if (this->view.holder == 0)
         return term_action::claim;
     // The holder's lease began before its renewal was read here, so it has ended when the claim is written.
-    const bool is_silent = now - this->last_progress > this->view.lease + this->options.claim_jitter;
+    const milliseconds delay =
+        this->options.claim_jitter + (this->is_resting(now) ? this->options.rest_delay : milliseconds(0));
+    const bool is_silent = now - this->last_progress > this->view.lease + delay;
     return is_silent ? term_action::claim : term_action::nothing;
 }
 
+void term_keeper::step_down(steady_time now)
+{
+    this->rests_until = now + this->options.rest;
+}
+
 milliseconds term_keeper::choose_lease() const
 {
     return std::clamp(this->write_time * lease_per_write_time, this->options.shortest_lease,
@@ -70,12 +79,12 @@
 
 bool term_keeper::may_act(steady_time now) const
 {
-    return this->is_holder() && now - this->confirmed_at < this->confirmed_lease;
+    return this->is_holder() && !this->is_resting(now) && now - this->confirmed_at < this->confirmed_lease;
 }
 
 bool term_keeper::may_renew_leases(steady_time now) const
 {
-    return this->is_holder() && now - this->confirmed_at < this->options.unconfirmed_limit;
+    return this->is_holder() && !this->is_resting(now) && now - this->confirmed_at < this->options.unconfirmed_limit;
 }
 
 } // namespace wigeon
--- a/libraries/scheduling/term_keeper.h
+++ b/libraries/scheduling/term_keeper.h
@@ -15,7 +15,9 @@
     milliseconds shortest_lease{1200};
     milliseconds longest_lease{15'000};
     milliseconds unconfirmed_limit{900'000};
-    milliseconds claim_jitter{0}; // Added to the lease, so that not all standbys claim at once.
+    milliseconds claim_jitter{0};   // Added to the lease, so that not all standbys claim at once.
+    milliseconds rest{10'000};      // After stepping down, for which others go first.
+    milliseconds rest_delay{3'000}; // By which a resting standby claims later than others would.
 };
 
 // What the log says of the term.
@@ -46,6 +48,9 @@
     // The pending claim or renewal was read back, or failed.
     void note_settled(bool is_in_force, steady_time now);
 
+    // Gives way to another scheduler: the term is not renewed until the rest is over, unless another took it.
+    void step_down(steady_time now);
+
     [[nodiscard]] bool is_holder() const { return this->view.holder == this->self; }
     [[nodiscard]] std::uint64_t term() const { return this->view.term; }
     [[nodiscard]] const term_view& known() const { return this->view; }
@@ -57,6 +62,8 @@
     [[nodiscard]] bool may_renew_leases(steady_time now) const;
 
 private:
+    [[nodiscard]] bool is_resting(steady_time now) const { return now < this->rests_until; }
+
     const std::uint64_t self;
     const term_options options;
     term_view view;
@@ -68,6 +75,7 @@
     milliseconds confirmed_lease{0}; // The lease in that write.
     milliseconds write_time{0};      // Recent time of a write; falls slowly.
     steady_time last_renewal{};
+    steady_time rests_until{};
     bool is_started = false;
 };
 
--- a/libraries/scheduling/worker_service.h
+++ b/libraries/scheduling/worker_service.h
@@ -30,6 +30,7 @@
 };
 
 // Speaks HTTP with protobuf bodies on one kept-alive connection per address. Not for use by two threads at once.
-std::unique_ptr<worker_service> make_http_worker_service(milliseconds timeout);
+// Connects from `source`, an address of this host; empty: the system chooses.
+std::unique_ptr<worker_service> make_http_worker_service(milliseconds timeout, std::string source);
 
 } // namespace wigeon
--- a/services/scheduler/main.cpp
+++ b/services/scheduler/main.cpp
@@ -26,7 +26,8 @@
     replica state(
         {common.log_address(), milliseconds(common.log_timeout_ms()), milliseconds(common.append_window_ms())});
     peer_gossip gossip(common, "scheduler", state);
-    scheduler_loop loop(settings, settings.operator_address(), state);
+    scheduler_loop loop(settings, settings.operator_address(), state,
+                        [&gossip] { return !gossip.list_live("scheduler").empty(); });
     operator_api api(state, loop, gossip);
 
     http_server operators(operator_threads);
--- a/tests/integration/jobs_test.cpp
+++ b/tests/integration/jobs_test.cpp
@@ -104,6 +104,13 @@
     cluster::wait_until([&] { return is_in_state(system, id, state); }, limit, id + " to be " + JobState_Name(state));
 }
 
+// A job that was accepted after all before it: what came earlier is settled when it has run.
+void run_marker(const cluster& system)
+{
+    const std::string id = system.submit(0, make_gang("large", "marker", 1, 50));
+    wait_for_state(system, id, JOB_FINISHED, milliseconds(30'000));
+}
+
 Configuration with_guarantee(Configuration configuration, const std::string& account, std::uint32_t cells)
 {
     for (Account& entry : *configuration.mutable_accounts()) {
@@ -147,6 +154,29 @@
     check_gangs(system.read_runs(), 2);
 }
 
+BOOST_AUTO_TEST_CASE(gets_it_back_though_the_answers_of_the_workers_are_lost)
+{
+    cluster system({.workers = 4, .scheduler_flags = scheduler_flags});
+    system.publish(with_guarantee(system.make_configuration(), "small", 1));
+    for (int i = 0; i < 2; ++i)
+        system.submit(0, make_gang("large", "borrow" + std::to_string(i), 2, 60'000));
+    for (int i = 0; i < 2; ++i)
+        wait_for_state(system, "large/borrow" + std::to_string(i), JOB_RUNNING, milliseconds(10'000));
+    system.set_fault("all:worker", "drop_answer");
+    const steady_time begin = read_steady_clock();
+    system.submit(0, make_gang("small", "asked", 2, 500, "urgent"));
+    std::this_thread::sleep_for(milliseconds(700));
+    system.set_fault("all:worker", "none");
+    cluster::wait_until([&] { return system.read_job(0, "small/asked").running_at_ms() != 0; }, milliseconds(10'000),
+                        "the guaranteed job");
+    const auto elapsed = elapsed_ms(begin, read_steady_clock());
+    check_time(elapsed, urgent_limit);
+    BOOST_TEST_MESSAGE("reclaim with lost answers took " << elapsed.count() << " ms");
+    wait_for_state(system, "small/asked", JOB_FINISHED, milliseconds(10'000));
+    BOOST_TEST(system.read_job(0, "small/asked").attempt() == 1U);
+    check_gangs(system.read_runs(), 2);
+}
+
 BOOST_AUTO_TEST_CASE(gets_it_back_though_the_holder_dies_at_that_moment)
 {
     cluster system({.schedulers = 3, .workers = 4, .scheduler_flags = scheduler_flags});
@@ -254,6 +284,17 @@
     check_gangs(system.read_runs(), 2);
 }
 
+BOOST_AUTO_TEST_CASE(starts_on_a_log_that_takes_seconds_for_each_read)
+{
+    cluster system({.workers = 4, .scheduler_flags = scheduler_flags});
+    system.publish(system.make_configuration());
+    system.set_platform("slow_read_ms=2000");
+    std::this_thread::sleep_for(milliseconds(4'000));
+    system.submit(0, make_gang("large", "slow", 2, 500));
+    wait_for_state(system, "large/slow", JOB_FINISHED, milliseconds(60'000));
+    check_gangs(system.read_runs(), 2);
+}
+
 BOOST_AUTO_TEST_CASE(starts_on_a_log_that_takes_seconds_for_each_append)
 {
     cluster system({.workers = 4, .scheduler_flags = scheduler_flags});
@@ -268,6 +309,112 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(a_holder_of_the_term)
+
+BOOST_AUTO_TEST_CASE(that_reaches_no_worker_gives_way_to_one_that_does)
+{
+    std::vector<std::string> flags = scheduler_flags;
+    flags.front() = "--lease_ms=6000";
+    cluster system({.schedulers = 3, .workers = 4, .scheduler_flags = flags});
+    system.publish(system.make_configuration());
+    system.submit(0, make_gang("large", "long", 2, 9'000));
+    wait_for_state(system, "large/long", JOB_RUNNING, milliseconds(10'000));
+    const int cut_off = system.find_holder();
+    system.set_fault("all:worker", "refuse", cluster::source_of_scheduler(cut_off));
+    system.submit(0, make_gang("small", "next", 2, 500));
+    wait_for_state(system, "small/next", JOB_FINISHED, milliseconds(20'000));
+    wait_for_state(system, "large/long", JOB_FINISHED, milliseconds(20'000));
+    BOOST_TEST(system.find_holder() != cut_off);
+    BOOST_TEST(system.read_job(0, "large/long").attempt() == 1U);
+    BOOST_TEST(system.metric("scheduler", cut_off, "wigeon_terms_given_up_total") == 1);
+    check_gangs(system.read_runs(), 2);
+}
+
+BOOST_AUTO_TEST_CASE(that_is_cut_off_from_its_peers_only_keeps_it)
+{
+    cluster system({.schedulers = 3, .workers = 4, .scheduler_flags = scheduler_flags, .has_peer_proxy = true});
+    system.publish(system.make_configuration());
+    const int holder = system.find_holder();
+    const std::string term = system.status(holder, "term");
+    system.set_fault("peers:scheduler" + std::to_string(holder), "refuse");
+    cluster::wait_until([&] { return system.status((holder + 1) % 3, "live_schedulers") == "2"; }, milliseconds(10'000),
+                        "the others to miss the holder");
+    system.submit(0, make_gang("small", "next", 2, 500));
+    wait_for_state(system, "small/next", JOB_FINISHED, milliseconds(20'000));
+    BOOST_TEST(system.status(holder, "is_holder") == "true");
+    BOOST_TEST(system.status(holder, "term") == term);
+}
+
+BOOST_AUTO_TEST_CASE(that_dies_together_with_a_standby_and_an_entry_is_followed_in_time)
+{
+    cluster system({.schedulers = 3, .workers = 4, .scheduler_flags = scheduler_flags});
+    system.publish(system.make_configuration());
+    system.submit(0, make_gang("large", "long", 2, 4'000));
+    wait_for_state(system, "large/long", JOB_RUNNING, milliseconds(10'000));
+    const int holder = system.find_holder();
+    const steady_time begin = read_steady_clock();
+    system.scheduler(holder).kill();
+    system.scheduler((holder + 1) % 3).kill();
+    system.entry(1).kill();
+    system.submit(0, make_gang("small", "asked", 2, 500, "urgent"));
+    cluster::wait_until([&] { return system.read_job(0, "small/asked").running_at_ms() != 0; }, milliseconds(15'000),
+                        "the urgent job");
+    check_time(elapsed_ms(begin, read_steady_clock()), urgent_limit);
+    wait_for_state(system, "large/long", JOB_FINISHED, milliseconds(20'000));
+    BOOST_TEST(system.read_job(0, "large/long").attempt() == 1U);
+    check_gangs(system.read_runs(), 2);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(a_zone)
+
+// Four racks of two workers in two zones. The zone of the holder goes with all that is in it.
+BOOST_AUTO_TEST_CASE(that_is_lost_leaves_the_other_whole_and_its_unmet_guarantees_named)
+{
+    std::vector<std::string> flags = scheduler_flags;
+    flags.emplace_back("--rebind_after_ms=1500");
+    cluster system({.schedulers = 3, .workers = 8, .scheduler_flags = flags, .racks_per_zone = 2});
+    system.publish(with_guarantee(system.make_configuration(), "small", 3));
+    std::vector<std::string> ids;
+    for (int i = 0; i < 4; ++i)
+        ids.push_back(system.submit(0, make_gang("large", "g" + std::to_string(i), 2, 6'000)));
+    for (const std::string& id : ids)
+        wait_for_state(system, id, JOB_RUNNING, milliseconds(10'000));
+    const int holder = system.find_holder();
+    for (int i = 4; i < 8; ++i) {
+        system.set_fault("worker" + std::to_string(i), "refuse");
+        system.set_worker(i, "restart=1");
+    }
+    system.set_fault("executor1", "refuse");
+    system.scheduler(holder).kill();
+    system.entry(1).kill();
+    // One of the three guaranteed cells fits nowhere any more, and says so.
+    const auto count_unmet = [&] {
+        const int successor = system.find_holder();
+        return successor < 0 ? 0
+                             : system.metric("scheduler", successor, "wigeon_unmet_guarantee_cells{account=\"small\"}");
+    };
+    cluster::wait_until([&] { return count_unmet() == 1; }, milliseconds(20'000), "the unmet cell to be named");
+    for (int i = 0; i < 10; ++i) {
+        const http_reply reply = system.request(0, "r" + std::to_string(i), "/run/1", {{"Wigeon-Idempotent", "true"}});
+        BOOST_TEST(reply.status == 200, reply.body);
+    }
+    // The two cells that are left come back whole while the other account uses them.
+    for (int i = 0; i < 2; ++i)
+        system.submit(0, make_gang("small", "asked" + std::to_string(i), 2, 500, "urgent"));
+    for (int i = 0; i < 2; ++i)
+        wait_for_state(system, "small/asked" + std::to_string(i), JOB_FINISHED, milliseconds(20'000));
+    for (int i = 4; i < 8; ++i)
+        system.set_fault("worker" + std::to_string(i), "none");
+    for (const std::string& id : ids)
+        wait_for_state(system, id, JOB_FINISHED, milliseconds(60'000));
+    cluster::wait_until([&] { return count_unmet() == 0; }, milliseconds(20'000), "the cell to be bound again");
+    check_gangs(system.read_runs(), 2);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(a_job)
 
 BOOST_AUTO_TEST_CASE(submitted_twice_runs_once_and_ends_once)
@@ -281,19 +428,66 @@
     BOOST_TEST(system.read_runs().size() == 2U);
 }
 
+BOOST_AUTO_TEST_CASE(is_answered_in_time_though_the_log_swallows_its_answers)
+{
+    cluster system({.entries = 1, .workers = 2, .scheduler_flags = scheduler_flags});
+    system.publish(system.make_configuration());
+    system.set_fault("log:entry0", "drop_answer");
+    constexpr int count = 12;
+    std::vector<http_reply> replies(count);
+    std::vector<std::thread> threads;
+    const steady_time begin = read_steady_clock();
+    for (int i = 0; i < count; ++i) {
+        threads.emplace_back([&, i] {
+            std::this_thread::sleep_for(milliseconds(100 * i));
+            replies[static_cast<std::size_t>(i)] =
+                system.post(0, "/v1/jobs", format_json(make_gang("small", "s" + std::to_string(i), 1, 50)), {},
+                            milliseconds(20'000));
+        });
+    }
+    for (std::thread& thread : threads)
+        thread.join();
+    BOOST_TEST_MESSAGE("the last was answered after " << elapsed_ms(begin, read_steady_clock()).count() << " ms");
+    system.set_fault("log:entry0", "none");
+    // Who was told that the job was not accepted must not see it run; who was not told can ask.
+    run_marker(system);
+    for (int i = 0; i < count; ++i) {
+        const http_reply& reply = replies[static_cast<std::size_t>(i)];
+        BOOST_TEST(reply.status != 0, "s" << i << " got no answer");
+        const bool is_refused = reply.body.find("log_unavailable") != std::string::npos;
+        if (is_refused)
+            BOOST_TEST(system.read_job(0, "small/s" + std::to_string(i)).state() == JOB_UNKNOWN);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(that_is_cancelled_in_a_wave_ends_without_a_start)
 {
     cluster system({.workers = 2, .scheduler_flags = scheduler_flags});
     system.publish(system.make_configuration());
-    system.submit(0, make_gang("small", "blocker", 2, 3'000));
+    system.submit(0, make_gang("small", "blocker", 2, 30'000));
     wait_for_state(system, "small/blocker", JOB_RUNNING, milliseconds(10'000));
+    constexpr int wave_size = 1'000;
+    constexpr int submitters = 8;
+    std::vector<std::thread> threads;
+    for (int s = 0; s < submitters; ++s) {
+        threads.emplace_back([&, s] {
+            for (int i = s; i < wave_size; i += submitters)
+                system.submit(i % 2, make_gang("small", "w" + std::to_string(i), 2, 100));
+        });
+    }
+    for (std::thread& thread : threads)
+        thread.join();
     CancelJobs wave;
-    for (int i = 0; i < 200; ++i)
-        wave.add_jobs(system.submit(i % 2, make_gang("small", "w" + std::to_string(i), 2, 100)));
-    wave.add_jobs("small/blocker");
+    for (int i = 0; i < wave_size; ++i)
+        wave.add_jobs("small/w" + std::to_string(i));
+    const steady_time begin = read_steady_clock();
     BOOST_TEST(system.post(1, "/v1/jobs/cancel", format_json(wave)).status == 202);
+    BOOST_TEST(system.post(0, "/v1/jobs/cancel", R"({"jobs": ["small/blocker"]})").status == 202);
+    wait_for_state(system, "small/blocker", JOB_CANCELLED, milliseconds(10'000));
     for (const std::string& id : wave.jobs())
         wait_for_state(system, id, JOB_CANCELLED, milliseconds(10'000));
+    BOOST_TEST_MESSAGE("wave of 1,000 read back as cancelled after " << elapsed_ms(begin, read_steady_clock()).count()
+                                                                     << " ms");
     BOOST_TEST(system.read_runs().size() == 2U);
 }
 
--- a/tests/scheduling/term_keeper_test.cpp
+++ b/tests/scheduling/term_keeper_test.cpp
@@ -134,6 +134,8 @@
                        for (int i = 0; i < 400; ++i) {
                            if (model.random() % 20 == 0)
                                model.nodes[model.random() % 3].is_paused ^= true;
+                           if (model.random() % 50 == 0)
+                               model.nodes[model.random() % 3].keeper->step_down(model.now);
                            model.step(milliseconds(model.random() % slowest));
                            RC_ASSERT(model.count_acting() <= 1);
                        }
@@ -186,6 +188,29 @@
     BOOST_TEST(!model.nodes[holder - 1].keeper->may_act(model.now));
 }
 
+BOOST_AUTO_TEST_CASE(a_holder_that_steps_down_is_followed_and_alone_takes_it_up_again)
+{
+    for (const bool has_standby : {true, false}) {
+        term_model model(4);
+        for (int i = 0; i < 40; ++i)
+            model.step(milliseconds(50));
+        const std::uint64_t holder = model.log.holder();
+        BOOST_REQUIRE(holder != 0);
+        for (std::uint64_t i = 0; i < model.nodes.size(); ++i)
+            model.nodes[i].is_dead = !has_standby && i + 1 != holder;
+        model.nodes[holder - 1].keeper->step_down(model.now);
+        BOOST_TEST(!model.nodes[holder - 1].keeper->may_act(model.now));
+        for (int i = 0; i < 60; ++i) {
+            model.step(milliseconds(50));
+            BOOST_TEST(model.count_acting() <= 1);
+        }
+        BOOST_TEST((model.log.holder() != holder) == has_standby);
+        for (int i = 0; i < 200; ++i)
+            model.step(milliseconds(50));
+        BOOST_TEST(model.count_acting() == 1);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace wigeon::test
--- a/tests/stand_ins/proxy.cpp
+++ b/tests/stand_ins/proxy.cpp
@@ -7,6 +7,7 @@
 //   freeze_answers the same towards the client only
 //   drop_answer    forwards requests and closes the connection when the answer comes
 //   delay:MS       waits before each piece
+// With the form field from, cut, refuse and none concern the connections from that client address only.
 // Usage: stand-in-proxy HOST CONTROL_PORT PORT=HOST:PORT...
 
 #include <algorithm>
@@ -16,6 +17,7 @@
 #include <list>
 #include <memory>
 #include <mutex>
+#include <set>
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
@@ -47,6 +49,7 @@
 struct flow {
     int client = -1;
     int target = -1;
+    std::string client_host;
     std::atomic<bool> is_frozen = false;
     std::atomic<bool> is_answer_frozen = false;
     std::atomic<bool> is_cut = false;
@@ -70,6 +73,19 @@
         std::thread([this] { this->accept_flows(); }).detach();
     }
 
+    void set_client_fault(const std::string& wanted, const std::string& client_host)
+    {
+        const std::lock_guard lock(this->mutex);
+        if (wanted == "refuse")
+            this->refused_clients.insert(client_host);
+        if (wanted == "none")
+            this->refused_clients.erase(client_host);
+        for (const auto& entry : this->flows) {
+            if (wanted != "none" && entry->client_host == client_host)
+                entry->is_cut = true;
+        }
+    }
+
     void set_fault(const std::string& wanted)
     {
         const std::lock_guard lock(this->mutex);
@@ -94,14 +110,19 @@
     void accept_flows()
     {
         while (true) {
-            const int client = accept(this->listener, nullptr, nullptr);
+            sockaddr_in from{};
+            socklen_t from_size = sizeof(from);
+            const int client = accept(this->listener, reinterpret_cast<sockaddr*>(&from), &from_size);
             if (client < 0)
                 continue;
             auto entry = std::make_shared<flow>();
             entry->client = client;
+            std::array<char, INET_ADDRSTRLEN> text{};
+            inet_ntop(AF_INET, &from.sin_addr, text.data(), text.size());
+            entry->client_host = text.data();
             entry->target = socket(AF_INET, SOCK_STREAM, 0);
             const sockaddr_in address = make_socket_address(this->target);
-            if (this->is_refusing ||
+            if (this->is_refused(entry->client_host) ||
                 connect(entry->target, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) != 0) {
                 // A reset instead of an orderly end, as when nobody listens.
                 const linger hard{1, 0};
@@ -122,6 +143,12 @@
         }
     }
 
+    bool is_refused(const std::string& client_host)
+    {
+        const std::lock_guard lock(this->mutex);
+        return this->is_refusing || this->refused_clients.contains(client_host);
+    }
+
     void forward(flow& entry)
     {
         while (!entry.is_cut) {
@@ -165,6 +192,7 @@
     const int listener;
     std::mutex mutex;
     std::list<std::shared_ptr<flow>> flows; // Guarded by mutex.
+    std::set<std::string> refused_clients;  // Guarded by mutex.
     std::atomic<int> delay_ms = 0;
     std::atomic<bool> is_refusing = false;
     std::atomic<bool> is_dropping_answers = false;
@@ -193,7 +221,11 @@
     control.routes().Post("/control", [&](const auto& request, auto& answer) {
         const std::string wanted = request.get_param_value("route");
         for (const auto& [port, entry] : routes) {
-            if (wanted == "all" || wanted == port)
+            if (wanted != "all" && wanted != port)
+                continue;
+            if (request.has_param("from"))
+                entry->set_client_fault(request.get_param_value("fault"), request.get_param_value("from"));
+            else
                 entry->set_fault(request.get_param_value("fault"));
         }
         answer.set_content("ok", "text/plain");
--- a/tests/support/cluster.cpp
+++ b/tests/support/cluster.cpp
@@ -218,7 +218,8 @@
 void cluster::start_scheduler(int index)
 {
     const std::string name = "scheduler" + std::to_string(index);
-    std::vector<std::string> command = {program("wigeon-scheduler")};
+    std::vector<std::string> command = {program("wigeon-scheduler"),
+                                        "--worker_source_address=" + source_of_scheduler(index)};
     for (const std::string& flag : this->make_common_flags(name))
         command.push_back(flag);
     command.insert(command.end(), this->options.scheduler_flags.begin(), this->options.scheduler_flags.end());
@@ -255,8 +256,9 @@
     for (int i = 0; i < this->options.workers; ++i) {
         Worker* worker = configuration.add_workers();
         worker->set_id("w" + std::to_string(i));
-        worker->set_zone("zone-1");
-        worker->set_rack("rack-" + std::to_string(i / this->options.workers_per_rack));
+        const int rack = i / this->options.workers_per_rack;
+        worker->set_zone("zone-" + std::to_string(1 + rack / this->options.racks_per_zone));
+        worker->set_rack("rack-" + std::to_string(rack));
         worker->set_address(address_of(this->ports.at("worker" + std::to_string(i))));
         worker->set_accelerators(this->options.accelerators);
         worker->set_cores(130);
@@ -475,15 +477,16 @@
                     "executor=" + executor + "&" + form);
 }
 
-void cluster::set_fault(const std::string& target, const std::string& fault) const
+void cluster::set_fault(const std::string& target, const std::string& fault, const std::string& from) const
 {
+    const std::string suffix = "&fault=" + fault + (from.empty() ? "" : "&from=" + from);
     bool is_found = false;
     for (const auto& [name, route_ports] : this->routes) {
         if (name != target && !(target.starts_with("all:") && name.starts_with(target.substr(4))))
             continue;
         is_found = true;
         for (const int port : route_ports)
-            this->post_form(this->ports.at("proxy"), "/control", "route=" + std::to_string(port) + "&fault=" + fault);
+            this->post_form(this->ports.at("proxy"), "/control", "route=" + std::to_string(port) + suffix);
     }
     if (!is_found)
         throw std::runtime_error("no route " + target);
--- a/tests/support/cluster.h
+++ b/tests/support/cluster.h
@@ -26,6 +26,7 @@
     std::vector<std::string> entry_flags = {};
     std::vector<std::string> scheduler_flags = {};
     bool has_peer_proxy = false; // Routes between each pair of processes, so that one can be cut off.
+    int racks_per_zone = 1000;
 };
 
 struct http_reply {
@@ -106,8 +107,11 @@
     void set_executor(const std::string& executor, const std::string& form) const;
 
     // Sets a fault on the routes of "log:entry0", "log:scheduler1", "worker3", "executor0", "peers:entry0" or
-    // "all:log".
-    void set_fault(const std::string& route, const std::string& fault) const;
+    // "all:log". With `from`, only connections from that address are concerned.
+    void set_fault(const std::string& route, const std::string& fault, const std::string& from = "") const;
+
+    // The address from which the scheduler calls workers.
+    static std::string source_of_scheduler(int index) { return "127.0.0." + std::to_string(10 + index); }
 
     static void wait_until(const std::function<bool()>& condition, milliseconds limit, const std::string& what);
 
