--- a/benchmarks/measure_placement.cpp
+++ b/benchmarks/measure_placement.cpp
@@ -24,8 +24,13 @@
     std::uint64_t backfill_grace_ms = 0;
 };
 
+// Classes of gangs by their accelerators.
+constexpr std::array<std::uint32_t, 3> size_limits{8, 63, UINT32_MAX};
+constexpr std::array<const char*, 3> size_names{"1 to 8", "9 to 63", "64 and more"};
+
 struct summary {
     std::vector<double> completion_s;
+    std::array<std::vector<double>, size_limits.size()> completion_by_size_s;
     std::vector<double> large_wait_s;   // Waits of the gangs of the largest two sizes.
     std::vector<double> slowdown_small; // Of accounts other than the first.
     std::vector<double> slowdown_large;
@@ -199,6 +204,8 @@
         (source.job.account() == "account0" ? this->result.slowdown_large : this->result.slowdown_small)
             .push_back(slowdown);
         const std::uint32_t accelerators = source.job.tasks() * source.job.accelerators_per_task();
+        const auto* size = std::lower_bound(size_limits.begin(), size_limits.end(), accelerators);
+        this->result.completion_by_size_s[static_cast<std::size_t>(size - size_limits.begin())].push_back(completion);
         if (accelerators >= 64)
             this->result.large_wait_s.push_back(static_cast<double>(job.placed_at_ms() - 1 - source.at_ms) / 1000);
     }
@@ -286,6 +293,18 @@
     arrival_options arrivals;
 };
 
+std::string format_by_size(const summary& result)
+{
+    std::string row;
+    for (const std::vector<double>& times : result.completion_by_size_s) {
+        std::array<char, 64> text{};
+        std::snprintf(text.data(), text.size(), " %8.0f %8.0f %8.0f", find_mean(times), find_quantile(times, 0.5),
+                      find_quantile(times, 0.99));
+        row += text.data();
+    }
+    return row;
+}
+
 void compare(const scenario& setting)
 {
     const std::vector<arrival> arrivals = make_arrivals(setting.size, setting.arrivals);
@@ -298,7 +317,9 @@
                                                 {"nested, rebinding", "nested_cells", true},
                                                 {"same, hold 30 s", "nested_cells", true, true, 30'000},
                                                 {"same, hold 30 min", "nested_cells", true, true, 1'800'000}}};
-    for (const policy_case& chosen : cases) {
+    std::array<std::string, cases.size()> by_size;
+    for (std::size_t i = 0; i < cases.size(); ++i) {
+        const policy_case& chosen = cases[i];
         const summary result = comparison(setting.size, arrivals, chosen).run();
         std::printf("%-24s %9.0f %9.0f %9.0f %8.3f %10.0f %10.0f %9.2f %9.2f %7.0f %2d/%-3d %6d\n", chosen.name,
                     find_mean(result.completion_s), find_quantile(result.completion_s, 0.5),
@@ -307,7 +328,14 @@
                     find_mean(result.large_wait_s), find_quantile(result.large_wait_s, 0.99),
                     find_mean(result.slowdown_small), find_mean(result.slowdown_large), result.lost_work,
                     result.late_reclaims, result.reclaims, result.unfinished);
+        by_size[i] = format_by_size(result);
     }
+    std::printf("completion by accelerators of the job, s: mean, p50, p99\n%-24s", "policy");
+    for (const char* name : size_names)
+        std::printf(" %26s", name);
+    std::printf("\n");
+    for (std::size_t i = 0; i < cases.size(); ++i)
+        std::printf("%-24s%s\n", cases[i].name, by_size[i].c_str());
 }
 
 } // namespace
--- a/benchmarks/measure_system.cpp
+++ b/benchmarks/measure_system.cpp
@@ -1,8 +1,10 @@
 // Measurements on real processes behind the stand-ins: the time from the death of the holder to the next start, the
-// spread of a configuration version, and control traffic and memory of each process.
-// Usage: WIGEON_BUILD=build measure-system failover|spread|idle [rounds]
+// spread of a configuration version, the times in which members are missed, silent connections, and long outages of the
+// log. Usage: WIGEON_BUILD=build measure-system failover|spread|membership|silence [rounds]
+//        WIGEON_BUILD=build measure-system outage|slow [seconds]
 
 #include <algorithm>
+#include <csignal>
 #include <cstdio>
 #include <cstdlib>
 #include <string>
@@ -25,19 +27,29 @@
                 values.back());
 }
 
-JobRequest make_urgent(int number)
+JobRequest make_gang(const std::string& key, int run_ms)
 {
     JobRequest job;
     job.set_account("small");
     job.set_job_class("urgent");
-    job.set_key("urgent-" + std::to_string(number));
+    job.set_key(key);
     job.set_tasks(2);
     job.set_accelerators_per_task(8);
     job.set_adjacency(ADJACENCY_RACK);
-    job.set_command("run 100");
+    job.set_command("run " + std::to_string(run_ms));
     return job;
 }
 
+JobRequest make_urgent(int number)
+{
+    return make_gang("urgent-" + std::to_string(number), 100);
+}
+
+void wait_for_end(const cluster& system, const std::string& id, milliseconds limit)
+{
+    cluster::wait_until([&] { return system.read_job(0, id).state() == JOB_FINISHED; }, limit, id);
+}
+
 // Urgent work submitted at the moment at which the holder is killed.
 void measure_failover(int rounds)
 {
@@ -82,6 +94,149 @@
     print_quantiles("publication to in force at 6 entries and 6 schedulers, start of wigeonctl included", times);
 }
 
+// From the signal to an entry, or its start, until a scheduler counts it so. Default times of beats.
+void measure_membership(int rounds)
+{
+    const std::vector<std::string> flags = {"--beat_interval_ms=1000", "--peer_timeout_ms=3500"};
+    cluster system(
+        {.entries = 6, .schedulers = 6, .workers = 2, .executors = 1, .entry_flags = flags, .scheduler_flags = flags});
+    system.publish(system.make_configuration());
+    const auto measure = [&](const char* count, std::vector<double>& times) {
+        const steady_time begin = read_steady_clock();
+        cluster::wait_until([&] { return system.status(0, "live_entries") == count; }, milliseconds(30'000), count);
+        times.push_back(static_cast<double>(elapsed_ms(begin, read_steady_clock()).count()));
+    };
+    std::vector<double> deaths;
+    std::vector<double> leaves;
+    std::vector<double> joins;
+    for (int i = 0; i < rounds; ++i) {
+        const bool is_death = i % 2 == 0;
+        system.entry(1).signal(is_death ? SIGKILL : SIGTERM);
+        measure("5", is_death ? deaths : leaves);
+        system.entry(1).wait();
+        system.start_entry(1);
+        measure("6", joins);
+    }
+    print_quantiles("a death noticed", deaths);
+    print_quantiles("a leave noticed", leaves);
+    print_quantiles("a join noticed, start of the process included", joins);
+    double expired = 0;
+    for (int i = 0; i < 6; ++i)
+        expired = std::max(expired, system.metric("scheduler", i, "wigeon_members_expired_total"));
+    std::printf("members missed by one scheduler at most: %.0f, deaths: %zu\n", expired, deaths.size());
+}
+
+// Gangs run through an outage in which one scheduler and one entry are replaced; requests without a key go on.
+void measure_outage(int seconds)
+{
+    cluster system({.schedulers = 3, .workers = 12});
+    system.publish(system.make_configuration());
+    const int run_ms = (seconds + 20) * 1'000;
+    std::vector<std::string> ids;
+    for (int i = 0; i < 4; ++i)
+        ids.push_back(system.submit(i % 2, make_gang("long-" + std::to_string(i), run_ms)));
+    for (const std::string& id : ids)
+        cluster::wait_until([&] { return system.read_job(0, id).state() == JOB_RUNNING; }, milliseconds(20'000), id);
+    const std::string term = system.status(0, "term");
+    system.set_platform("down=1");
+    const steady_time begin = read_steady_clock();
+    bool is_replaced = false;
+    int served = 0;
+    int sent = 0;
+    int accepted = 0;
+    while (read_steady_clock() - begin < std::chrono::seconds(seconds)) {
+        ++sent;
+        served += system.request(0, "r" + std::to_string(sent), "/run/1").status == 200;
+        accepted += sent % 10 == 0 && system.post(0, "/v1/jobs", format_json(make_urgent(sent))).status == 202;
+        if (!is_replaced && read_steady_clock() - begin > std::chrono::seconds(seconds / 2)) {
+            const int standby = (system.find_holder() + 1) % 3;
+            system.scheduler(standby).kill();
+            system.entry(1).kill();
+            system.start_scheduler(standby);
+            system.start_entry(1);
+            is_replaced = true;
+        }
+        std::this_thread::sleep_for(milliseconds(500));
+    }
+    system.set_platform("down=0");
+    const steady_time end = read_steady_clock();
+    cluster::wait_until([&] { return system.post(1, "/v1/jobs", format_json(make_gang("after", 100))).status == 202; },
+                        milliseconds(60'000), "an acceptance");
+    wait_for_end(system, "small/after", milliseconds(60'000));
+    std::printf("outage of %d s: requests served %d of %d, jobs accepted %d; first new gang finished %ld ms after it\n",
+                seconds, served, sent, accepted, static_cast<long>(elapsed_ms(end, read_steady_clock()).count()));
+    for (const std::string& id : ids)
+        wait_for_end(system, id, milliseconds(120'000));
+    std::uint32_t attempts = 0;
+    for (const std::string& id : ids)
+        attempts += system.read_job(0, id).attempt();
+    std::printf("4 gangs ran through it in %u attempts; term before %s, after %s\n", attempts, term.c_str(),
+                system.status(0, "term").c_str());
+}
+
+// The open connections to all executors go silent: what idempotent requests take, with and without detection.
+void measure_silence(int rounds)
+{
+    const std::vector<std::string> off = {"--probe_interval_ms=60000", "--suspect_after_ms=600000"};
+    for (const bool is_detected : {true, false}) {
+        cluster system({.entries = 1,
+                        .schedulers = 1,
+                        .workers = 1,
+                        .executors = 4,
+                        .entry_flags = is_detected ? std::vector<std::string>{} : off});
+        system.publish(system.make_configuration());
+        std::vector<double> times;
+        int failed = 0;
+        for (int i = 0; i < rounds; ++i) {
+            std::vector<std::thread> threads;
+            for (int w = 0; w < 16; ++w) {
+                threads.emplace_back([&, w] {
+                    system.request(0, "warm" + std::to_string(i) + "-" + std::to_string(w), "/run/30",
+                                   {{"Wigeon-Idempotent", "true"}});
+                });
+            }
+            for (std::thread& thread : threads)
+                thread.join();
+            system.set_fault("all:executor", "freeze");
+            const steady_time begin = read_steady_clock();
+            failed += system
+                          .request(0, "late" + std::to_string(i), "/run/1",
+                                   {{"Wigeon-Idempotent", "true"}, {"Wigeon-Deadline-Ms", "5000"}})
+                          .status != 200;
+            times.push_back(static_cast<double>(elapsed_ms(begin, read_steady_clock()).count()));
+            system.set_fault("all:executor", "cut");
+        }
+        print_quantiles(is_detected ? "first request after the silence, with detection"
+                                    : "first request after the silence, without",
+                        times);
+        std::printf("failed at the deadline of 5 s: %d of %d\n", failed, rounds);
+    }
+}
+
+// Gangs are submitted while each append takes 3 s and each read 500 ms.
+void measure_slow_log(int seconds)
+{
+    cluster system({.schedulers = 3, .workers = 8});
+    system.publish(system.make_configuration());
+    const std::string term = system.status(0, "term");
+    system.set_platform("slow_ms=3000&slow_read_ms=500");
+    const steady_time begin = read_steady_clock();
+    std::vector<double> times;
+    int unsettled = 0;
+    for (int i = 0; read_steady_clock() - begin < std::chrono::seconds(seconds); ++i) {
+        const steady_time sent_at = read_steady_clock();
+        const int status = system.post(0, "/v1/jobs", format_json(make_urgent(i))).status;
+        unsettled += status != 202;
+        if (status != 202)
+            continue;
+        wait_for_end(system, "small/urgent-" + std::to_string(i), milliseconds(120'000));
+        times.push_back(static_cast<double>(elapsed_ms(sent_at, read_steady_clock()).count()));
+    }
+    print_quantiles("gang of 100 ms from submission to finished on a slow log", times);
+    std::printf("submissions without an acceptance: %d; term before %s, after %s\n", unsettled, term.c_str(),
+                system.status(0, "term").c_str());
+}
+
 } // namespace
 
 } // namespace wigeon::test
@@ -94,6 +249,14 @@
         wigeon::test::measure_failover(rounds);
     else if (what == "spread")
         wigeon::test::measure_spread(rounds);
+    else if (what == "membership")
+        wigeon::test::measure_membership(rounds);
+    else if (what == "silence")
+        wigeon::test::measure_silence(rounds);
+    else if (what == "outage")
+        wigeon::test::measure_outage(rounds);
+    else if (what == "slow")
+        wigeon::test::measure_slow_log(rounds);
     else
-        std::printf("usage: measure-system failover|spread [rounds]\n");
+        std::printf("usage: measure-system failover|spread|membership|silence [rounds], or outage|slow [seconds]\n");
 }
