--- a/benchmarks/measure_system.cpp
+++ b/benchmarks/measure_system.cpp
@@ -17,6 +17,9 @@
 
 namespace {
 
+constexpr int warm_connections = 16;
+constexpr int long_gangs = 4;
+
 void print_quantiles(const char* what, std::vector<double> values)
 {
     std::sort(values.begin(), values.end());
@@ -134,7 +137,8 @@
     system.publish(system.make_configuration());
     const int run_ms = (seconds + 20) * 1'000;
     std::vector<std::string> ids;
-    for (int i = 0; i < 4; ++i)
+    ids.reserve(long_gangs);
+    for (int i = 0; i < long_gangs; ++i)
         ids.push_back(system.submit(i % 2, make_gang("long-" + std::to_string(i), run_ms)));
     for (const std::string& id : ids)
         cluster::wait_until([&] { return system.read_job(0, id).state() == JOB_RUNNING; }, milliseconds(20'000), id);
@@ -171,8 +175,8 @@
     std::uint32_t attempts = 0;
     for (const std::string& id : ids)
         attempts += system.read_job(0, id).attempt();
-    std::printf("4 gangs ran through it in %u attempts; term before %s, after %s\n", attempts, term.c_str(),
-                system.status(0, "term").c_str());
+    std::printf("%d gangs ran through it in %u attempts; term before %s, after %s\n", long_gangs, attempts,
+                term.c_str(), system.status(0, "term").c_str());
 }
 
 // The open connections to all executors go silent: what idempotent requests take, with and without detection.
@@ -190,7 +194,8 @@
         int failed = 0;
         for (int i = 0; i < rounds; ++i) {
             std::vector<std::thread> threads;
-            for (int w = 0; w < 16; ++w) {
+            threads.reserve(warm_connections);
+            for (int w = 0; w < warm_connections; ++w) {
                 threads.emplace_back([&, w] {
                     system.request(0, "warm" + std::to_string(i) + "-" + std::to_string(w), "/run/30",
                                    {{"Wigeon-Idempotent", "true"}});
