--- /dev/null
+++ b/libraries/scheduling/gang_decisions.cpp
@@ -0,0 +1,149 @@
+// Transitions of gangs that start, run and stop.
+
+#include "scheduling/gang_decisions.h"
+
+#include <algorithm>
+#include <string>
+
+namespace wigeon {
+
+namespace {
+
+// After this many refused connections in a row the worker is probably gone, so that its gangs are stopped elsewhere.
+// It is no proof: the job waits again only when the leases have lapsed.
+constexpr std::uint32_t refusal_limit = 3;
+
+Decision make_stop(const Job& job, const std::string& reason)
+{
+    Decision decision;
+    decision.mutable_stop()->set_job(job.id());
+    decision.mutable_stop()->set_attempt(job.attempt());
+    decision.mutable_stop()->set_reason(reason);
+    return decision;
+}
+
+Decision make_end(const Job& job, JobState state, const std::string& reason)
+{
+    Decision decision;
+    decision.mutable_end()->set_job(job.id());
+    decision.mutable_end()->set_attempt(job.attempt());
+    decision.mutable_end()->set_state(state);
+    decision.mutable_end()->set_reason(reason);
+    return decision;
+}
+
+Decision make_requeue(const Job& job, const task_view* failed)
+{
+    Decision decision;
+    RequeueJob& requeue = *decision.mutable_requeue();
+    requeue.set_job(job.id());
+    requeue.set_attempt(job.attempt());
+    requeue.set_is_own_failure(failed != nullptr);
+    if (failed != nullptr)
+        requeue.set_failed_worker(failed->worker);
+    requeue.set_reason(job.reason());
+    return decision;
+}
+
+const task_view* find_failed(const gang_view& gang)
+{
+    const auto found = std::find_if(gang.tasks.begin(), gang.tasks.end(),
+                                    [](const task_view& task) { return task.is_known && task.known == TASK_FAILED; });
+    return found == gang.tasks.end() ? nullptr : &*found;
+}
+
+bool is_finished(const gang_view& gang)
+{
+    return std::all_of(gang.tasks.begin(), gang.tasks.end(),
+                       [](const task_view& task) { return task.is_known && task.known == TASK_FINISHED; });
+}
+
+std::optional<Decision> decide_starting(const Job& job, const gang_view& gang, const gang_options& options,
+                                        steady_time now)
+{
+    if (job.is_cancel_requested())
+        return make_stop(job, "cancelled");
+    if (const task_view* failed = find_failed(gang))
+        return make_stop(job, "a task failed on " + failed->worker);
+    const bool is_lost = std::any_of(gang.tasks.begin(), gang.tasks.end(), [&](const task_view& task) {
+        const bool is_missing = task.known == TASK_STOPPED || task.known == TASK_ABSENT;
+        return task.is_known && is_missing && (gang.is_released || gang.is_adopted || task.known == TASK_STOPPED);
+    });
+    if (is_lost)
+        return make_stop(job, "a task was lost before the start");
+    const bool is_unreleased = std::any_of(gang.tasks.begin(), gang.tasks.end(), [](const task_view& task) {
+        return !task.is_known || task.known == TASK_HELD || task.known == TASK_ABSENT;
+    });
+    if (is_unreleased) {
+        const bool is_late = now - gang.phase_since > options.start_limit;
+        return is_late ? std::optional(make_stop(job, "the start took too long")) : std::nullopt;
+    }
+    Decision decision;
+    decision.mutable_running()->set_job(job.id());
+    decision.mutable_running()->set_attempt(job.attempt());
+    return decision;
+}
+
+std::optional<Decision> decide_running(const Job& job, const gang_view& gang, steady_time now)
+{
+    if (job.is_cancel_requested())
+        return make_stop(job, "cancelled");
+    for (const task_view& task : gang.tasks) {
+        if (task.is_known && task.known == TASK_FAILED)
+            return make_stop(job, "a task failed on " + task.worker);
+        const bool is_gone = task.is_known && task.known != TASK_FINISHED && !is_live(task.known);
+        const bool is_lapsed = !task.is_known && now >= task.lease_until;
+        const bool is_suspected = task.refusals >= refusal_limit && is_live(task.known);
+        if (is_gone || is_lapsed || is_suspected)
+            return make_stop(job, "a task was lost on " + task.worker);
+    }
+    return is_finished(gang) ? std::optional(make_end(job, JOB_FINISHED, "")) : std::nullopt;
+}
+
+std::optional<Decision> decide_stopping(const Job& job, const gang_view& gang, const gang_options& options,
+                                        steady_time now)
+{
+    const bool is_whole_stopped = std::all_of(gang.tasks.begin(), gang.tasks.end(),
+                                              [now](const task_view& task) { return is_stopped(task, now); });
+    if (!is_whole_stopped)
+        return std::nullopt;
+    if (is_finished(gang))
+        return make_end(job, JOB_FINISHED, "");
+    if (job.is_cancel_requested())
+        return make_end(job, JOB_CANCELLED, "cancelled");
+    const task_view* failed = find_failed(gang);
+    if (failed != nullptr && job.failures() + 1 >= options.job_attempts)
+        return make_end(job, JOB_FAILED,
+                        "attempt " + std::to_string(job.attempt()) + ": a task failed on " + failed->worker);
+    return make_requeue(job, failed);
+}
+
+} // namespace
+
+bool is_live(TaskState state)
+{
+    return state == TASK_HELD || state == TASK_RUNNING;
+}
+
+bool is_stopped(const task_view& task, steady_time now)
+{
+    if (task.is_known && !is_live(task.known))
+        return true;
+    return now >= task.lease_until;
+}
+
+std::optional<Decision> decide_gang(const Job& job, const gang_view& gang, const gang_options& options, steady_time now)
+{
+    switch (job.state()) {
+    case JOB_PLACED:
+        return decide_starting(job, gang, options, now);
+    case JOB_RUNNING:
+        return decide_running(job, gang, now);
+    case JOB_STOPPING:
+        return decide_stopping(job, gang, options, now);
+    default:
+        return std::nullopt;
+    }
+}
+
+} // namespace wigeon
--- a/libraries/scheduling/gang_driver.cpp
+++ b/libraries/scheduling/gang_driver.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <set>
 
+#include "scheduling/gang_decisions.h"
 #include "state/configuration.h"
 #include "state/job_rules.h"
 
@@ -12,39 +13,10 @@
 
 namespace {
 
-// After this many refused connections in a row the worker is probably gone, so that its gangs are stopped elsewhere.
-// It is no proof: the job waits again only when the leases have lapsed.
-constexpr std::uint32_t refusal_limit = 3;
 constexpr milliseconds message_lifetime{500};
-// One silent worker alone says nothing of the way to the others.
-constexpr std::size_t cut_off_workers = 2;
 // A finished task is noticed within this fraction of the time that its job ran.
 constexpr int report_delay_divisor = 20;
 
-Decision make_stop(const Job& job, const std::string& reason)
-{
-    Decision decision;
-    decision.mutable_stop()->set_job(job.id());
-    decision.mutable_stop()->set_attempt(job.attempt());
-    decision.mutable_stop()->set_reason(reason);
-    return decision;
-}
-
-Decision make_end(const Job& job, JobState state, const std::string& reason)
-{
-    Decision decision;
-    decision.mutable_end()->set_job(job.id());
-    decision.mutable_end()->set_attempt(job.attempt());
-    decision.mutable_end()->set_state(state);
-    decision.mutable_end()->set_reason(reason);
-    return decision;
-}
-
-bool is_live(TaskState state)
-{
-    return state == TASK_HELD || state == TASK_RUNNING;
-}
-
 } // namespace
 
 void gang_driver::begin_term(std::uint64_t new_term)
@@ -81,12 +53,12 @@
     for (const auto& [id, job] : state.jobs()) {
         if (!is_on_workers(job.state()))
             continue;
-        gang& entry = this->gangs[id];
+        gang_view& entry = this->gangs[id];
         // A cancel changes what is due without a change of state.
         if (job.is_cancel_requested())
             entry.due_at = now;
         if (entry.attempt != job.attempt()) {
-            entry = gang{};
+            entry = gang_view{};
             entry.attempt = job.attempt();
             entry.is_adopted = this->is_first_refresh;
             const milliseconds bound = entry.is_adopted ? this->options.adoption_limit : milliseconds(0);
@@ -114,25 +86,17 @@
     }
 }
 
-bool gang_driver::is_ready_to_release(const gang& entry) const
+bool gang_driver::is_ready_to_release(const gang_view& entry) const
 {
     return std::all_of(entry.tasks.begin(), entry.tasks.end(), [](const task_view& task) {
         return task.is_known && (is_live(task.known) || task.known == TASK_FINISHED);
     });
 }
 
-bool gang_driver::is_stopped(const task_view& task, steady_time now) const
-{
-    if (task.is_known && !is_live(task.known))
-        return true;
-    return now >= task.lease_until;
-}
-
-TaskAction gang_driver::choose_action(const Job& job, const gang& entry, const task_view& task, steady_time now,
+TaskAction gang_driver::choose_action(const Job& job, const gang_view& entry, const task_view& task, steady_time now,
                                       bool may_act) const
 {
-    const auto contact = this->contacts.find(task.worker);
-    const bool has_clock = contact != this->contacts.end() && contact->second.clock_ms != 0;
+    const bool has_clock = this->contacts.find_clock_ms(task.worker, now).has_value();
     if (!may_act || !has_clock)
         return task.is_known && task.known == TASK_RUNNING && has_clock && job.state() != JOB_STOPPING ? TASK_RENEW
                                                                                                        : TASK_ASK;
@@ -150,7 +114,7 @@
     case JOB_RUNNING:
         return task.known == TASK_RUNNING ? TASK_RENEW : TASK_ASK;
     case JOB_STOPPING: {
-        if (this->is_stopped(task, now))
+        if (is_stopped(task, now))
             return TASK_ASK;
         // A checkpoint saves work only where the job itself is sound.
         const bool is_reclaim = job.reason().starts_with("reclaimed");
@@ -164,7 +128,7 @@
 
 // Reports of finished tasks come with the renewals. A young job is asked often; for one that ran for long, a later
 // report costs a small share of its time.
-milliseconds gang_driver::find_interval(TaskAction action, const gang& entry, steady_time now) const
+milliseconds gang_driver::find_interval(TaskAction action, const gang_view& entry, steady_time now) const
 {
     if (action != TASK_RENEW)
         return this->options.retry_interval;
@@ -173,14 +137,14 @@
     return std::clamp(elapsed_ms(entry.phase_since, now) / report_delay_divisor, shortest, longest);
 }
 
-void gang_driver::order_gang(const Job& job, gang& entry, steady_time now, bool may_act,
+void gang_driver::order_gang(const Job& job, gang_view& entry, steady_time now, bool may_act,
                              std::map<std::string, WorkerOrders>& orders)
 {
     for (std::size_t i = 0; i < entry.tasks.size(); ++i) {
         task_view& task = entry.tasks[i];
         const TaskAction action = this->choose_action(job, entry, task, now, may_act);
         const bool is_settled = task.is_known && !is_live(task.known) && action == TASK_ASK;
-        if (is_settled || !this->may_send(task.worker, now))
+        if (is_settled || !this->contacts.may_send(task.worker, now))
             continue;
         if (now - task.asked_at < this->find_interval(action, entry, now) && task.asked_at != steady_time{})
             continue;
@@ -188,8 +152,8 @@
     }
 }
 
-void gang_driver::add_order(WorkerOrders& message, const Job& job, gang& entry, std::size_t index, TaskAction action,
-                            steady_time now)
+void gang_driver::add_order(WorkerOrders& message, const Job& job, gang_view& entry, std::size_t index,
+                            TaskAction action, steady_time now)
 {
     task_view& task = entry.tasks[index];
     task.asked_at = now;
@@ -214,25 +178,25 @@
 }
 
 // True when all tasks on the worker run, as far as is known, so that renewing is all there is to do.
-bool gang_driver::is_steady(const std::string& worker) const
+bool gang_driver::is_steady(const std::string& worker, steady_time now) const
 {
-    const auto contact = this->contacts.find(worker);
-    if (contact == this->contacts.end() || contact->second.clock_ms == 0 || contact->second.is_silent)
+    if (this->contacts.is_silent(worker) || !this->contacts.find_clock_ms(worker, now))
         return false;
     const auto found = this->tasks_of_worker.find(worker);
     if (found == this->tasks_of_worker.end())
         return true;
     return std::all_of(found->second.begin(), found->second.end(), [this](const auto& entry) {
-        const gang& owner = this->gangs.at(entry.first);
+        const gang_view& owner = this->gangs.at(entry.first);
         const task_view& task = owner.tasks[entry.second];
         return owner.phase == JOB_RUNNING && task.is_known && task.known == TASK_RUNNING && task.refusals == 0;
     });
 }
 
-bool gang_driver::is_relayable(const std::string& worker, const WorkerOrders& message) const
+bool gang_driver::is_relayable(const std::string& worker, const WorkerOrders& message, steady_time now) const
 {
-    return this->is_steady(worker) && std::all_of(message.orders().begin(), message.orders().end(),
-                                                  [](const TaskOrder& order) { return order.action() == TASK_RENEW; });
+    return this->is_steady(worker, now) &&
+           std::all_of(message.orders().begin(), message.orders().end(),
+                       [](const TaskOrder& order) { return order.action() == TASK_RENEW; });
 }
 
 // A worker that is called anyway gets the renewals of all its running tasks, so that those of several gangs need one
@@ -243,13 +207,14 @@
     std::set<std::string_view> due;
     for (const auto& [worker, message] : orders) {
         const auto group = groups.find(worker);
-        if (group != groups.end() && this->is_relayable(worker, message))
+        if (group != groups.end() && this->is_relayable(worker, message, now))
             due.insert(group->second);
     }
     for (const auto& [worker, group] : groups) {
-        if (!due.contains(group) || orders.contains(worker) || !this->is_steady(worker) || !this->may_send(worker, now))
+        if (!due.contains(group) || orders.contains(worker) || !this->is_steady(worker, now) ||
+            !this->contacts.may_send(worker, now))
             continue;
-        if (now - this->contacts[worker].sent_at >= this->options.lease / 6)
+        if (now - this->contacts.find_sent_at(worker) >= this->options.lease / 6)
             orders[worker];
     }
     for (auto& [worker, message] : orders) {
@@ -257,7 +222,7 @@
         if (found == this->tasks_of_worker.end())
             continue;
         for (const auto& [id, index] : found->second) {
-            gang& entry = this->gangs.at(id);
+            gang_view& entry = this->gangs.at(id);
             const task_view& task = entry.tasks[index];
             const bool is_running = entry.phase == JOB_RUNNING && task.is_known && task.known == TASK_RUNNING;
             if (is_running && task.asked_at != now)
@@ -266,16 +231,6 @@
     }
 }
 
-bool gang_driver::may_send(const std::string& worker, steady_time now) const
-{
-    const auto found = this->contacts.find(worker);
-    if (found == this->contacts.end())
-        return true;
-    if (found->second.is_under_way)
-        return false;
-    return !found->second.is_silent || now - found->second.sent_at >= this->options.silent_interval;
-}
-
 std::vector<worker_message> gang_driver::make_orders(const replicated_state& state, steady_time now, bool may_act,
                                                      const renewal_groups& groups)
 {
@@ -286,7 +241,7 @@
             this->order_gang(*state.find_job(id), entry, now, may_act, orders);
     }
     for (auto& [worker, dropped] : this->forgotten) {
-        if (!this->may_send(worker, now))
+        if (!this->contacts.may_send(worker, now))
             continue;
         for (TaskOrder& order : dropped)
             *orders[worker].add_orders() = std::move(order);
@@ -306,14 +261,14 @@
         return;
     this->next_ping_scan = now + this->options.retry_interval;
     for (const Worker& worker : state.configuration().workers()) {
-        const bool is_idle = now - this->contacts[worker.id()].sent_at >= this->options.ping_interval;
-        if (is_idle && this->may_send(worker.id(), now))
+        const bool is_idle = now - this->contacts.find_sent_at(worker.id()) >= this->options.ping_interval;
+        if (is_idle && this->contacts.may_send(worker.id(), now))
             orders[worker.id()];
     }
 }
 
 // A running gang waits for its next renewal; one that starts or stops is looked at in each round.
-milliseconds gang_driver::find_gang_interval(const gang& entry) const
+milliseconds gang_driver::find_gang_interval(const gang_view& entry) const
 {
     const bool is_steady =
         entry.phase == JOB_RUNNING && std::all_of(entry.tasks.begin(), entry.tasks.end(), [](const task_view& task) {
@@ -332,20 +287,17 @@
         if (found == orders.end())
             continue;
         WorkerOrders& order = found->second;
-        worker_contact& contact = this->contacts[worker.id()];
         order.set_worker(worker.id());
         order.set_term(this->term);
-        if (contact.clock_ms != 0) {
-            const milliseconds age =
-                elapsed_ms(contact.clock_read_at, now) + message_lifetime + this->options.call_limit;
-            order.set_not_after_ms(contact.clock_ms + static_cast<std::uint64_t>(age.count()));
-        }
-        contact.is_under_way = true;
-        contact.sent_at = now;
+        const steady_time latest = now + message_lifetime + this->options.call_limit;
+        if (const auto clock_ms = this->contacts.find_clock_ms(worker.id(), latest))
+            order.set_not_after_ms(*clock_ms);
+        this->contacts.note_sent(worker.id(), now);
         const auto group = groups.find(worker.id());
-        std::string relay_to = group != groups.end() && this->is_relayable(worker.id(), order) ? group->second : "";
-        messages.push_back(
-            {worker.address(), std::move(order), now + message_lifetime, contact.is_silent, std::move(relay_to)});
+        std::string relay_to =
+            group != groups.end() && this->is_relayable(worker.id(), order, now) ? group->second : "";
+        messages.push_back({worker.address(), std::move(order), now + message_lifetime,
+                            this->contacts.is_silent(worker.id()), std::move(relay_to)});
     }
     return messages;
 }
@@ -353,7 +305,7 @@
 // The tasks are due again at once, since nobody renewed them.
 void gang_driver::note_dropped(const WorkerOrders& orders)
 {
-    this->contacts[orders.worker()].is_under_way = false;
+    this->contacts.note_dropped(orders.worker());
     for (const TaskOrder& order : orders.orders()) {
         const auto found = this->gangs.find(order.job());
         if (found == this->gangs.end() || found->second.attempt != order.attempt())
@@ -363,33 +315,13 @@
     }
 }
 
-void gang_driver::note_contact(worker_contact& contact, const worker_answer& answer, steady_time sent_at,
-                               steady_time now, bool is_relayed)
-{
-    const bool is_answered = answer.call == worker_call::answered;
-    if (!is_answered && !contact.is_silent)
-        contact.silent_since = sent_at;
-    contact.is_silent = !is_answered;
-    if (is_answered) {
-        contact.clock_ms = answer.reports.clock_ms();
-        contact.clock_read_at = now;
-    }
-    if (is_relayed)
-        return;
-    if (!is_answered && !contact.is_call_silent)
-        contact.call_silent_since = sent_at;
-    contact.is_call_silent = !is_answered;
-    contact.called_at = now;
-}
-
 void gang_driver::note_answer(const WorkerOrders& orders, const worker_answer& answer, steady_time sent_at,
                               steady_time now, bool is_relayed)
 {
-    worker_contact& contact = this->contacts[orders.worker()];
-    contact.is_under_way = false;
+    this->contacts.note_dropped(orders.worker());
     if (orders.term() != this->term)
         return;
-    this->note_contact(contact, answer, sent_at, now, is_relayed);
+    this->contacts.note_answer(orders.worker(), answer, sent_at, now, is_relayed);
     const bool is_answered = answer.call == worker_call::answered;
     if (is_answered && answer.reports.is_fenced()) {
         this->fenced = true;
@@ -428,152 +360,21 @@
     }
 }
 
-void gang_driver::decide_starting(const Job& job, const gang& entry, steady_time now,
-                                  std::vector<Decision>& decisions) const
-{
-    const auto has = [&entry](auto predicate) {
-        return std::any_of(entry.tasks.begin(), entry.tasks.end(), predicate);
-    };
-    if (job.is_cancel_requested()) {
-        decisions.push_back(make_stop(job, "cancelled"));
-        return;
-    }
-    for (const task_view& task : entry.tasks) {
-        if (task.is_known && task.known == TASK_FAILED) {
-            decisions.push_back(make_stop(job, "a task failed on " + task.worker));
-            return;
-        }
-    }
-    const bool is_lost = has([&](const task_view& task) {
-        const bool is_missing = task.known == TASK_STOPPED || task.known == TASK_ABSENT;
-        return task.is_known && is_missing && (entry.is_released || entry.is_adopted || task.known == TASK_STOPPED);
-    });
-    const bool is_late = now - entry.phase_since > this->options.start_limit;
-    const bool is_unreleased = has(
-        [](const task_view& task) { return !task.is_known || task.known == TASK_HELD || task.known == TASK_ABSENT; });
-    if (is_lost || (is_late && is_unreleased)) {
-        decisions.push_back(make_stop(job, is_lost ? "a task was lost before the start" : "the start took too long"));
-        return;
-    }
-    if (!is_unreleased) {
-        Decision decision;
-        decision.mutable_running()->set_job(job.id());
-        decision.mutable_running()->set_attempt(job.attempt());
-        decisions.push_back(std::move(decision));
-    }
-}
-
-void gang_driver::decide_running(const Job& job, const gang& entry, steady_time now,
-                                 std::vector<Decision>& decisions) const
-{
-    if (job.is_cancel_requested()) {
-        decisions.push_back(make_stop(job, "cancelled"));
-        return;
-    }
-    bool is_finished = true;
-    for (const task_view& task : entry.tasks) {
-        is_finished = is_finished && task.is_known && task.known == TASK_FINISHED;
-        if (task.is_known && task.known == TASK_FAILED) {
-            decisions.push_back(make_stop(job, "a task failed on " + task.worker));
-            return;
-        }
-        const bool is_gone = task.is_known && task.known != TASK_FINISHED && !is_live(task.known);
-        const bool is_lapsed = !task.is_known && now >= task.lease_until;
-        const bool is_suspected = task.refusals >= refusal_limit && is_live(task.known);
-        if (is_gone || is_lapsed || is_suspected) {
-            decisions.push_back(make_stop(job, "a task was lost on " + task.worker));
-            return;
-        }
-    }
-    if (is_finished)
-        decisions.push_back(make_end(job, JOB_FINISHED, ""));
-}
-
-void gang_driver::decide_stopping(const Job& job, const gang& entry, steady_time now,
-                                  std::vector<Decision>& decisions) const
-{
-    const task_view* failed = nullptr;
-
-    bool is_finished = true;
-    for (const task_view& task : entry.tasks) {
-        if (!this->is_stopped(task, now))
-            return;
-        if (task.is_known && task.known == TASK_FAILED)
-            failed = &task;
-
-        is_finished = is_finished && task.is_known && task.known == TASK_FINISHED;
-    }
-    if (is_finished) {
-        decisions.push_back(make_end(job, JOB_FINISHED, ""));
-        return;
-    }
-    if (job.is_cancel_requested()) {
-        decisions.push_back(make_end(job, JOB_CANCELLED, "cancelled"));
-        return;
-    }
-    if (failed != nullptr && job.failures() + 1 >= this->options.job_attempts) {
-        decisions.push_back(make_end(
-            job, JOB_FAILED, "attempt " + std::to_string(job.attempt()) + ": a task failed on " + failed->worker));
-        return;
-    }
-    Decision decision;
-    RequeueJob& requeue = *decision.mutable_requeue();
-    requeue.set_job(job.id());
-    requeue.set_attempt(job.attempt());
-    requeue.set_is_own_failure(failed != nullptr);
-    if (failed != nullptr)
-        requeue.set_failed_worker(failed->worker);
-
-    requeue.set_reason(job.reason());
-    decisions.push_back(std::move(decision));
-}
-
 std::vector<Decision> gang_driver::make_decisions(const replicated_state& state, steady_time now)
 {
     std::vector<Decision> decisions;
     for (auto& [id, entry] : this->gangs) {
         if (now < entry.due_at)
             continue;
-        const std::size_t decided = decisions.size();
         const Job* job = state.find_job(id);
         if (job == nullptr || job->attempt() != entry.attempt)
             continue;
-        if (job->state() == JOB_PLACED)
-            this->decide_starting(*job, entry, now, decisions);
-        else if (job->state() == JOB_RUNNING)
-            this->decide_running(*job, entry, now, decisions);
-        else if (job->state() == JOB_STOPPING)
-            this->decide_stopping(*job, entry, now, decisions);
-        if (decisions.size() == decided)
+        if (auto decision = decide_gang(*job, entry, this->options, now))
+            decisions.push_back(std::move(*decision));
+        else
             entry.due_at = now + this->find_gang_interval(entry);
     }
     return decisions;
 }
 
-bool gang_driver::is_cut_off(steady_time now, milliseconds limit) const
-{
-    std::size_t asked = 0;
-    for (const auto& [worker, contact] : this->contacts) {
-        // A worker that left the configuration is no longer asked.
-        const bool is_asked =
-            contact.called_at != steady_time{} && now - contact.called_at <= this->options.ping_interval + limit;
-        if (!is_asked)
-            continue;
-        if (!contact.is_call_silent || now - contact.call_silent_since < limit)
-            return false;
-        ++asked;
-    }
-    return asked >= cut_off_workers;
-}
-
-std::vector<std::string> gang_driver::list_silent(steady_time now, milliseconds limit) const
-{
-    std::vector<std::string> silent;
-    for (const auto& [worker, contact] : this->contacts) {
-        if (contact.is_silent && now - contact.silent_since >= limit)
-            silent.push_back(worker);
-    }
-    return silent;
-}
-
 } // namespace wigeon
--- /dev/null
+++ b/libraries/scheduling/gang_view.h
@@ -0,0 +1,50 @@
+// What the holder of the term knows of one gang on its workers, and the times that bound its life.
+
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "base/time.h"
+#include "wigeon.pb.h"
+
+namespace wigeon {
+
+struct gang_options {
+    milliseconds lease{15'000};
+    milliseconds hold{3'000};
+    milliseconds checkpoint_limit{1'500};
+    milliseconds retry_interval{100};     // Between two tries of an unanswered order.
+    milliseconds silent_interval{1'000};  // Between two messages to a worker that does not answer.
+    milliseconds call_limit{800};         // Time limit of one exchange.
+    milliseconds ping_interval{2'000};    // Longest time without a message to a worker.
+    milliseconds start_limit{2'500};      // From the placement to the last release; less than the hold.
+    milliseconds poll_interval{1'000};    // Shortest time between two renewals of a running task.
+    milliseconds adoption_limit{915'000}; // After which tasks of an unreachable worker, started by an
+                                          // earlier holder, have lapsed for certain.
+    std::uint32_t job_attempts = 3;
+};
+
+struct task_view {
+    std::string worker;
+    std::uint32_t accelerators = 0;
+    TaskState known = TASK_ABSENT;
+    bool is_known = false;      // False until the worker answered under this term.
+    steady_time lease_until{};  // When the task has certainly stopped by itself.
+    steady_time asked_at{};     // When an order was last made for it.
+    steady_time renewed_at{};   // Start of the newest answered exchange.
+    std::uint32_t refusals = 0; // Connections refused in a row.
+};
+
+struct gang_view {
+    std::uint32_t attempt = 0;
+    JobState phase = JOB_UNKNOWN;
+    steady_time phase_since{};
+    bool is_adopted = false;  // Was on workers before this holder saw it.
+    bool is_released = false; // A release went out: no task may be held anew.
+    steady_time due_at{};     // When orders or decisions may be due next; an answer makes it sooner.
+    std::vector<task_view> tasks;
+};
+
+} // namespace wigeon
