--- a/tests/integration/jobs_test.cpp
+++ b/tests/integration/jobs_test.cpp
@@ -239,6 +239,21 @@
     BOOST_TEST_MESSAGE("longest partial run: " << longest << " ms, bound " << partial_limit_ms << " ms");
 }
 
+BOOST_AUTO_TEST_CASE(is_not_started_anew_while_a_worker_out_of_reach_may_still_run_it)
+{
+    std::vector<std::string> flags = scheduler_flags;
+    flags.front() = "--lease_ms=3000";
+    cluster system({.workers = 4, .scheduler_flags = flags});
+    system.publish(system.make_configuration());
+    system.submit(0, make_gang("large", "long", 2, 6'000));
+    wait_for_state(system, "large/long", JOB_RUNNING, milliseconds(10'000));
+    const std::string lost = system.read_job(0, "large/long").placements(0).worker();
+    system.set_fault("worker" + lost.substr(1), "refuse");
+    wait_for_state(system, "large/long", JOB_FINISHED, milliseconds(30'000));
+    BOOST_TEST(system.read_job(0, "large/long").attempt() == 2U);
+    check_gangs(system.read_runs(), 2);
+}
+
 BOOST_AUTO_TEST_CASE(goes_on_under_a_paused_holder_and_its_successor)
 {
     // The leases of tasks must outlast the change of the term, as the default of 15 s does.
