Make the tests of lease wait and job quota notice what they are for

lease_wait was green with the test of this morning as well: behind the proxy a refused worker reads as uncertain, so the gang was stopped only when the lease had passed anyway (traced: stop at 4.2 s, lease over at 3.0 s). Now the loss of the other member stops the gang at once: red without the wait (attempt 3, overlaps), green with it three times. job_quota was red only because its test ran without end until it was killed; its loop is bounded now.

--- a/tests/integration/jobs_test.cpp
+++ b/tests/integration/jobs_test.cpp
@@ -247,8 +247,10 @@
     system.publish(system.make_configuration());
     system.submit(0, make_gang("large", "long", 2, 6'000));
     wait_for_state(system, "large/long", JOB_RUNNING, milliseconds(10'000));
-    const std::string lost = system.read_job(0, "large/long").placements(0).worker();
-    system.set_fault("worker" + lost.substr(1), "refuse");
+    const Job running = system.read_job(0, "large/long");
+    system.set_fault("worker" + running.placements(0).worker().substr(1), "refuse");
+    // The loss of the other member stops the gang, while this one runs on.
+    system.set_worker(std::stoi(running.placements(1).worker().substr(1)), "restart=1");
     wait_for_state(system, "large/long", JOB_FINISHED, milliseconds(30'000));
     BOOST_TEST(system.read_job(0, "large/long").attempt() == 2U);
     check_gangs(system.read_runs(), 2);
--- a/tests/state/replicated_state_test.cpp
+++ b/tests/state/replicated_state_test.cpp
@@ -310,7 +310,7 @@
         return author.write(state, make_submit(make_job(account, "k" + std::to_string(number), 1, 1)));
     };
     std::uint64_t accepted = 0;
-    while (submit("a0", accepted).outcome == apply_outcome::applied)
+    while (accepted < replicated_state::kept_jobs_limit && submit("a0", accepted).outcome == apply_outcome::applied)
         ++accepted;
     BOOST_TEST(accepted == replicated_state::kept_jobs_limit / 2);
     BOOST_TEST((submit("a0", accepted).reason == error_kind::too_many_jobs));
