Count orders that were given up, but may still be carried out, in the end of a lease

Cause, found on reading each timeout of the change: a renewal without an answer may reach the worker until its limit (0.5 s and one call after it was made), directly or through a standby. The driver then asks, and the answer lowered its bound to one lease after the answer; the late renewal moved the worker's lease up to 0.3 s beyond it, so that a job could wait again, and start, while its old task still ran. The bound now is the later of the two. Ruled out: keeping the highest bound ever, which would hold tasks of an earlier holder for 915 s although the worker's answer fences it.

--- a/libraries/scheduling/gang_driver.cpp
+++ b/libraries/scheduling/gang_driver.cpp
@@ -173,7 +173,8 @@
     if (action == TASK_HOLD || action == TASK_RELEASE || action == TASK_RENEW) {
         const milliseconds lease = action == TASK_HOLD ? this->options.hold : this->options.lease;
         order.set_lease_ms(static_cast<std::uint64_t>(lease.count()));
-        task.lease_until = std::max(task.lease_until, now + message_lifetime + this->options.call_limit + lease);
+        task.ordered_until = std::max(task.ordered_until, now + message_lifetime + this->options.call_limit + lease);
+        task.lease_until = std::max(task.lease_until, task.ordered_until);
     }
 }
 
@@ -355,8 +356,10 @@
         task->is_known = true;
         task->known = report.state();
         task->renewed_at = sent_at;
-        // Whatever was extended, it ends at most one lease after the answer.
-        task->lease_until = is_live(report.state()) ? now + std::max(this->options.lease, this->options.hold) : now;
+        // Orders of an earlier holder are fenced from here on: what they extended ends at most one lease after the
+        // answer. An own order that was given up may reach the worker after it.
+        const steady_time extended_until = now + std::max(this->options.lease, this->options.hold);
+        task->lease_until = is_live(report.state()) ? std::max(extended_until, task->ordered_until) : now;
     }
 }
 
--- a/libraries/scheduling/gang_view.h
+++ b/libraries/scheduling/gang_view.h
@@ -30,9 +30,11 @@
     std::string worker;
     std::uint32_t accelerators = 0;
     TaskState known = TASK_ABSENT;
-    bool is_known = false;      // False until the worker answered under this term.
-    steady_time lease_until{};  // When the task has certainly stopped by itself.
-    steady_time asked_at{};     // When an order was last made for it.
+    bool is_known = false;     // False until the worker answered under this term.
+    steady_time lease_until{}; // When the task has certainly stopped by itself.
+    steady_time
+        ordered_until{};    // The same for this holder's orders alone: one without an answer may still be carried out.
+    steady_time asked_at{}; // When an order was last made for it.
     steady_time renewed_at{};   // Start of the newest answered exchange.
     std::uint32_t refusals = 0; // Connections refused in a row.
 };
--- /dev/null
+++ b/tests/scheduling/gang_driver_test.cpp
@@ -0,0 +1,79 @@
+// The driver's knowledge of leases: what the workers may still carry out counts, not only what they answered.
+
+#include "scheduling/gang_driver.h"
+
+#include "support/property.h"
+
+namespace wigeon::test {
+
+namespace {
+
+const steady_time start{std::chrono::hours(1)};
+
+// One running job with one task on the only worker.
+replicated_state make_state(JobState job_state)
+{
+    SystemState state;
+    state.set_term(1);
+    state.mutable_configuration()->add_workers()->set_id("w0");
+    Job& job = *state.add_jobs();
+    job.set_id("a/j");
+    job.set_attempt(1);
+    job.set_state(job_state);
+    job.add_placements()->set_worker("w0");
+    return replicated_state(state);
+}
+
+// The worker's answer that the task runs.
+worker_answer make_running_answer(const WorkerOrders& orders)
+{
+    worker_answer answer;
+    answer.call = worker_call::answered;
+    answer.reports.set_clock_ms(1'000);
+    for (const TaskOrder& order : orders.orders()) {
+        TaskReport& report = *answer.reports.add_reports();
+        report.set_job(order.job());
+        report.set_attempt(order.attempt());
+        report.set_task(order.task());
+        report.set_state(TASK_RUNNING);
+    }
+    return answer;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(gang_driver_story)
+
+BOOST_AUTO_TEST_CASE(a_renewal_without_an_answer_counts_though_a_later_answer_came_first)
+{
+    const gang_options options;
+    gang_driver driver(options);
+    driver.begin_term(1);
+    const replicated_state running = make_state(JOB_RUNNING);
+    steady_time now = start;
+    const auto send = [&] {
+        std::vector<worker_message> messages = driver.make_orders(running, now, true);
+        BOOST_REQUIRE(messages.size() == 1U);
+        return messages.front().orders;
+    };
+    const WorkerOrders first = send();
+    driver.note_answer(first, make_running_answer(first), now, now);
+    now += options.lease / 2;
+    const WorkerOrders renewal = send();
+    BOOST_REQUIRE(renewal.orders(0).action() == TASK_RENEW);
+    // The worker may carry this renewal out until its limit; the caller gives up earlier and asks.
+    const steady_time renewed_until = now + milliseconds(500) + options.call_limit + options.lease;
+    driver.note_answer(renewal, {}, now, now + milliseconds(100));
+    now += options.silent_interval;
+    const WorkerOrders question = send();
+    driver.note_answer(question, make_running_answer(question), now, now);
+    // From here on the worker is out of reach.
+    const replicated_state stopping = make_state(JOB_STOPPING);
+    driver.make_orders(stopping, now, true);
+    BOOST_TEST(driver.make_decisions(stopping, renewed_until - milliseconds(1)).empty());
+    BOOST_TEST(driver.make_decisions(stopping, renewed_until + options.retry_interval * 2).size() == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace wigeon::test
