--- /dev/null
+++ b/tests/support/gangs.h
@@ -0,0 +1,40 @@
+// What the tests of jobs share: gangs, short leases, and the checks on the runs that the workers recorded.
+
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "base/time.h"
+#include "support/cluster.h"
+#include "wigeon.pb.h"
+
+namespace wigeon::test {
+
+// Short leases keep the tests short; the bounds below are worked out from them.
+inline constexpr std::uint64_t lease_ms = 2'000;
+inline constexpr std::uint64_t call_ms = 400;
+inline constexpr milliseconds urgent_limit{3'700};
+inline const std::vector<std::string> scheduler_flags = {"--lease_ms=2000", "--worker_timeout_ms=400", "--hold_ms=1500",
+                                                         "--checkpoint_limit_ms=500", "--ping_interval_ms=300"};
+
+// The bound on the time in which some members of a gang run and others do not: a lost member is noticed at the
+// latest when its lease lapsed, and the others are stopped within a few calls.
+inline constexpr std::uint64_t partial_limit_ms = lease_ms + 500 + 4 * call_ms;
+
+JobRequest make_gang(const std::string& account, const std::string& key, std::uint32_t tasks, std::uint64_t run_ms,
+                     const std::string& job_class = "batch");
+
+// No two attempts of a job run at once, and no gang runs partially beyond the bound. Returns the longest partial time.
+std::uint64_t check_gangs(const std::vector<task_run>& runs, std::uint32_t tasks);
+
+void wait_for_state(const cluster& system, const std::string& id, JobState state, milliseconds limit);
+
+// Runs a job that was accepted after all before it: what came earlier is settled when it has run.
+void run_marker(const cluster& system);
+
+// The account is guaranteed this many pairs of whole workers in one rack.
+Configuration with_guarantee(Configuration configuration, const std::string& account, std::uint32_t cells);
+
+} // namespace wigeon::test
