Throttle tasks beyond their cores, move jobs that outgrew their memory; renew at half of the lease

Cause: workers report usage and can throttle, but nothing used it: a job that declared a tenth of its size took the cores and the memory of its neighbours. Now a task beyond its part of the worker's cores is throttled by its next renewal; when a worker's memory is overfull, the task furthest beyond its part goes with a checkpoint, and its job asks for what it used from then on, or fails with the reason when no worker can hold that. Ruled out: stopping each task beyond its part, which harms nobody on a worker with room; judging a worker anew at once, since reports lag. Proof: two jobs on one worker, one at 120 of 65 cores, one at 200 of 125 GB: the first was held to 65 cores in its one attempt, the second finished in its second attempt with 200 GB.

Renewals left at a third of the lease; a half, or 7.5 s before the end, is enough for retries and a change of the holder, and saves a third of these messages.

Test clusters of processes started one after the other drew overlapping ports, 97 apart for a pid; now 7,919.

--- a/libraries/scheduling/gang_decisions.cpp
+++ b/libraries/scheduling/gang_decisions.cpp
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <string>
 
+#include "state/job_rules.h"
+
 namespace wigeon {
 
 namespace {
@@ -88,6 +90,12 @@
 {
     if (job.is_cancel_requested())
         return make_stop(job, "cancelled");
+    if (gang.outgrown_memory != 0) {
+        Decision decision = make_stop(job, std::string(outgrown_reason) + ": a task used " +
+                                               std::to_string(gang.outgrown_memory) + " GB on a full worker");
+        decision.mutable_stop()->set_used_memory_gigabytes(gang.outgrown_memory);
+        return decision;
+    }
     for (const task_view& task : gang.tasks) {
         if (task.is_known && task.known == TASK_FAILED)
             return make_stop(job, "a task failed on " + task.worker);
@@ -132,6 +140,16 @@
     return now >= task.lease_until;
 }
 
+Decision end_if_outgrown(Decision decision, const Job& job, const Configuration& configuration)
+{
+    if (!decision.has_requeue() || !job.reason().starts_with(outgrown_reason))
+        return decision;
+    const std::uint32_t startable = count_startable_tasks(configuration, job.request());
+    if (startable >= job.request().tasks())
+        return decision;
+    return make_end(job, JOB_FAILED, job.reason() + "; the largest gang of such tasks is " + std::to_string(startable));
+}
+
 std::optional<Decision> decide_gang(const Job& job, const gang_view& gang, const gang_options& options, steady_time now)
 {
     switch (job.state()) {
--- a/libraries/scheduling/gang_driver.cpp
+++ b/libraries/scheduling/gang_driver.cpp
@@ -26,6 +26,7 @@
     this->is_first_refresh = true;
     this->gangs.clear();
     this->contacts.clear();
+    this->usage_judged_until.clear();
     this->forgotten.clear();
 }
 
@@ -57,21 +58,8 @@
         // A cancel changes what is due without a change of state.
         if (job.is_cancel_requested())
             entry.due_at = now;
-        if (entry.attempt != job.attempt()) {
-            entry = gang_view{};
-            entry.attempt = job.attempt();
-            entry.is_adopted = this->is_first_refresh;
-            const milliseconds bound = entry.is_adopted ? this->options.adoption_limit : milliseconds(0);
-            for (const TaskPlacement& placement : job.placements()) {
-                task_view task;
-                task.worker = placement.worker();
-                task.accelerators = placement.accelerators();
-                task.lease_until = now + bound;
-                // An attempt that this holder placed itself was never on the worker before.
-                task.is_known = !entry.is_adopted;
-                entry.tasks.push_back(std::move(task));
-            }
-        }
+        if (entry.attempt != job.attempt())
+            entry = make_gang_view(job, state.configuration(), this->options, this->is_first_refresh, now);
         if (entry.phase != job.state()) {
             entry.phase = job.state();
             entry.phase_since = now;
@@ -117,9 +105,9 @@
         if (is_stopped(task, now))
             return TASK_ASK;
         // A checkpoint saves work only where the job itself is sound.
-        const bool is_reclaim = job.reason().starts_with("reclaimed");
+        const bool is_sound = job.reason().starts_with("reclaimed") || job.reason().starts_with(outgrown_reason);
         const bool has_time = now - entry.phase_since < this->options.checkpoint_limit;
-        return is_reclaim && has_time && task.is_known && task.known == TASK_RUNNING ? TASK_CHECKPOINT : TASK_STOP;
+        return is_sound && has_time && task.is_known && task.known == TASK_RUNNING ? TASK_CHECKPOINT : TASK_STOP;
     }
     default:
         return TASK_ASK;
@@ -132,7 +120,8 @@
 {
     if (action != TASK_RENEW)
         return this->options.retry_interval;
-    const milliseconds longest = this->options.lease / 3;
+    const milliseconds lease = this->options.lease;
+    const milliseconds longest = std::clamp(lease - this->options.renewal_reserve, lease / 3, lease / 2);
     const milliseconds shortest = std::min(this->options.poll_interval, longest);
     return std::clamp(elapsed_ms(entry.phase_since, now) / report_delay_divisor, shortest, longest);
 }
@@ -169,6 +158,8 @@
         order.set_expected_run_ms(job.request().expected_run_ms());
         order.set_command(job.request().command());
     }
+    if (action == TASK_RENEW)
+        order.set_cores_limit(task.cores_limit);
     // The lease counts from when the worker carries the order out, which it does before not_after_ms or never.
     if (action == TASK_HOLD || action == TASK_RELEASE || action == TASK_RENEW) {
         const milliseconds lease = action == TASK_HOLD ? this->options.hold : this->options.lease;
@@ -197,7 +188,7 @@
 {
     return this->is_steady(worker, now) &&
            std::all_of(message.orders().begin(), message.orders().end(),
-                       [](const TaskOrder& order) { return order.action() == TASK_RENEW; });
+                       [](const TaskOrder& order) { return order.action() == TASK_RENEW && order.cores_limit() == 0; });
 }
 
 // A worker that is called anyway gets the renewals of all its running tasks, so that those of several gangs need one
@@ -328,19 +319,12 @@
         this->fenced = true;
         return;
     }
-    const auto find_task = [this, now](const std::string& job, std::uint32_t attempt,
-                                       std::uint32_t index) -> task_view* {
-        const auto found = this->gangs.find(job);
-        if (found == this->gangs.end() || found->second.attempt != attempt || index >= found->second.tasks.size())
-            return nullptr;
-        found->second.due_at = now;
-        return &found->second.tasks[index];
-    };
     if (!is_answered) {
         for (const TaskOrder& order : orders.orders()) {
-            task_view* task = find_task(order.job(), order.attempt(), order.task());
+            task_view* task = this->find_task(order.job(), order.attempt(), order.task());
             if (task == nullptr)
                 continue;
+            this->gangs.at(order.job()).due_at = now;
             task->refusals = answer.call == worker_call::refused ? task->refusals + 1 : 0;
             // An order whose answer was lost may have taken effect, so the task is asked about.
             if (answer.call == worker_call::uncertain)
@@ -349,9 +333,10 @@
         return;
     }
     for (const TaskReport& report : answer.reports.reports()) {
-        task_view* task = find_task(report.job(), report.attempt(), report.task());
+        task_view* task = this->find_task(report.job(), report.attempt(), report.task());
         if (task == nullptr)
             continue;
+        this->gangs.at(report.job()).due_at = now;
         task->refusals = 0;
         task->is_known = true;
         task->known = report.state();
@@ -361,6 +346,46 @@
         const steady_time extended_until = now + std::max(this->options.lease, this->options.hold);
         task->lease_until = is_live(report.state()) ? std::max(extended_until, task->ordered_until) : now;
     }
+    this->note_usage(answer.reports, now);
+}
+
+task_view* gang_driver::find_task(const std::string& job, std::uint32_t attempt, std::uint32_t task)
+{
+    const auto found = this->gangs.find(job);
+    if (found == this->gangs.end() || found->second.attempt != attempt || task >= found->second.tasks.size())
+        return nullptr;
+    return &found->second.tasks[task];
+}
+
+// Sizes that were declared too small must not harm the neighbours on the worker.
+void gang_driver::note_usage(const WorkerReports& reports, steady_time now)
+{
+    for (const TaskReport& report : reports.reports()) {
+        task_view* task = this->find_task(report.job(), report.attempt(), report.task());
+        if (task != nullptr && is_beyond_cores(report, task->part))
+            task->cores_limit = task->part.cores;
+    }
+    steady_time& judged_until = this->usage_judged_until[reports.worker()];
+    if (now < judged_until)
+        return;
+    const TaskReport* outgrown = find_outgrown(reports, [this](const TaskReport& report) {
+        const task_view* task = this->find_task(report.job(), report.attempt(), report.task());
+        return task == nullptr ? usage_part{} : task->part;
+    });
+    if (outgrown == nullptr)
+        return;
+    this->gangs.at(outgrown->job()).outgrown_memory = outgrown->used_memory_gigabytes();
+    judged_until = now + this->options.usage_lag;
+}
+
+std::size_t gang_driver::count_throttled() const
+{
+    std::size_t count = 0;
+    for (const auto& [id, entry] : this->gangs) {
+        count += static_cast<std::size_t>(std::count_if(entry.tasks.begin(), entry.tasks.end(),
+                                                        [](const task_view& task) { return task.cores_limit != 0; }));
+    }
+    return count;
 }
 
 std::vector<Decision> gang_driver::make_decisions(const replicated_state& state, steady_time now)
@@ -373,7 +398,7 @@
         if (job == nullptr || job->attempt() != entry.attempt)
             continue;
         if (auto decision = decide_gang(*job, entry, this->options, now))
-            decisions.push_back(std::move(*decision));
+            decisions.push_back(end_if_outgrown(std::move(*decision), *job, state.configuration()));
         else
             entry.due_at = now + this->find_gang_interval(entry);
     }
--- a/libraries/scheduling/gang_driver.h
+++ b/libraries/scheduling/gang_driver.h
@@ -64,11 +64,16 @@
         return this->contacts.is_cut_off(now, this->options.ping_interval + limit, limit);
     }
 
+    // Running tasks that are throttled to their part of the worker.
+    [[nodiscard]] std::size_t count_throttled() const;
+
     // True when a worker answered that a newer term is in force.
     [[nodiscard]] bool is_fenced() const { return this->fenced; }
 
 private:
     void refresh(const replicated_state& state, steady_time now);
+    task_view* find_task(const std::string& job, std::uint32_t attempt, std::uint32_t task);
+    void note_usage(const WorkerReports& reports, steady_time now);
     void add_renewals(std::map<std::string, WorkerOrders>& orders, const replicated_state& state, steady_time now,
                       const renewal_groups& groups);
     [[nodiscard]] bool is_steady(const std::string& worker, steady_time now) const;
@@ -97,6 +102,7 @@
     // Job id and index of each task of these gangs, by worker id; made anew with each change of the gangs.
     std::map<std::string, std::vector<std::pair<std::string, std::size_t>>> tasks_of_worker;
     worker_contacts contacts;
+    std::map<std::string, steady_time> usage_judged_until;   // By worker id; see gang_options::usage_lag.
     std::map<std::string, std::vector<TaskOrder>> forgotten; // Ended tasks that a worker may drop, by worker id.
 };
 
--- /dev/null
+++ b/libraries/scheduling/gang_view.cpp
@@ -0,0 +1,27 @@
+// The first view of an attempt.
+
+#include "scheduling/gang_view.h"
+
+namespace wigeon {
+
+gang_view make_gang_view(const Job& job, const Configuration& configuration, const gang_options& options,
+                         bool is_adopted, steady_time now)
+{
+    gang_view view;
+    view.attempt = job.attempt();
+    view.is_adopted = is_adopted;
+    const milliseconds bound = is_adopted ? options.adoption_limit : milliseconds(0);
+    for (const TaskPlacement& placement : job.placements()) {
+        task_view task;
+        task.worker = placement.worker();
+        task.accelerators = placement.accelerators();
+        task.part = find_part(configuration, placement);
+        task.lease_until = now + bound;
+        // An attempt that this holder placed itself was never on the worker before.
+        task.is_known = !is_adopted;
+        view.tasks.push_back(std::move(task));
+    }
+    return view;
+}
+
+} // namespace wigeon
--- a/libraries/scheduling/renewal_relay.cpp
+++ b/libraries/scheduling/renewal_relay.cpp
@@ -190,8 +190,11 @@
         const auto found = waiting.find(result->orders.worker());
         if (found == waiting.end() || result->sent_at < begin)
             continue;
-        if (!result->is_dropped)
-            *found->second = make_renewal_report(result->orders, result->answer);
+        if (!result->is_dropped) {
+            *found->second = this->state.read([&](const replicated_state& current) {
+                return make_renewal_report(current, result->orders, result->answer);
+            });
+        }
         waiting.erase(found);
     }
     return answer;
--- a/libraries/scheduling/renewal_sharing.cpp
+++ b/libraries/scheduling/renewal_sharing.cpp
@@ -6,6 +6,8 @@
 #include <functional>
 #include <set>
 
+#include "scheduling/task_usage.h"
+
 namespace wigeon {
 
 namespace {
@@ -133,7 +135,7 @@
     return expanded;
 }
 
-RenewalReport make_renewal_report(const WorkerOrders& sent, const worker_answer& answer)
+RenewalReport make_renewal_report(const replicated_state& state, const WorkerOrders& sent, const worker_answer& answer)
 {
     RenewalReport report;
     if (answer.call != worker_call::answered) {
@@ -146,8 +148,10 @@
     // A worker that fenced the message or took it too late reports on no task.
     if (answer.reports.reports_size() != sent.orders_size() && !report.is_fenced())
         report.set_outcome(RENEWAL_UNCERTAIN);
+    report.set_used_memory_gigabytes(answer.reports.used_memory_gigabytes());
     for (const TaskReport& task : answer.reports.reports()) {
-        if (task.state() != TASK_RUNNING)
+        const usage_part part = find_part(state, task);
+        if (task.state() != TASK_RUNNING || is_beyond_cores(task, part) || is_beyond_memory(task, part))
             *report.add_changed() = task;
     }
     return report;
@@ -164,6 +168,7 @@
     answer.reports.set_worker(message.worker());
     answer.reports.set_clock_ms(report.clock_ms());
     answer.reports.set_is_fenced(report.is_fenced());
+    answer.reports.set_used_memory_gigabytes(report.used_memory_gigabytes());
     if (report.is_fenced())
         return answer;
     using task_id = std::tuple<std::string_view, std::uint32_t, std::uint32_t>;
--- a/libraries/scheduling/renewal_sharing.h
+++ b/libraries/scheduling/renewal_sharing.h
@@ -53,7 +53,7 @@
 // What a standby sends to the workers: nothing to those whose tasks it knows otherwise. One entry for each order.
 std::vector<WorkerOrders> expand_renewals(const replicated_state& state, const RenewalQuestion& question);
 
-RenewalReport make_renewal_report(const WorkerOrders& sent, const worker_answer& answer);
+RenewalReport make_renewal_report(const replicated_state& state, const WorkerOrders& sent, const worker_answer& answer);
 
 // The answer of the worker to the message that the order stands for.
 worker_answer read_renewal_report(const WorkerOrders& message, const RenewalReport& report);
--- a/libraries/scheduling/scheduler_loop.cpp
+++ b/libraries/scheduling/scheduler_loop.cpp
@@ -316,6 +316,7 @@
 void scheduler_loop::publish_gauges(const replicated_state& current, const worker_set& unreachable_now) const
 {
     process_metrics().set_gauge("wigeon_unreachable_workers", static_cast<double>(unreachable_now.size()));
+    process_metrics().set_gauge("wigeon_throttled_tasks", static_cast<double>(this->driver.count_throttled()));
     process_metrics().set_gauge("wigeon_quarantined_workers", static_cast<double>(current.quarantines().size()));
     for (const auto& [account, binding] : current.bindings())
         process_metrics().set_gauge("wigeon_unmet_guarantee_cells{account=\"" + account + "\"}",
@@ -329,8 +330,11 @@
     body.set_term(this->keeper.term());
     body.set_configuration_version(
         this->state.read([](const replicated_state& current) { return current.configuration().version(); }));
-    for (Decision& decision : decisions)
+    for (Decision& decision : decisions) {
+        if (decision.stop().used_memory_gigabytes() != 0)
+            process_metrics().count("wigeon_jobs_outgrown_total");
         *body.add_decisions() = std::move(decision);
+    }
     this->pending =
         pending_decisions{this->state.submit_later(std::move(record), now + decision_write_limit), decisions.size()};
 }
--- a/libraries/state/replicated_state.cpp
+++ b/libraries/state/replicated_state.cpp
@@ -288,6 +288,8 @@
         // The command of an ended job is no longer kept.
         if (is_ended(found->second.state()))
             kept.set_command(request.command());
+        if (found->second.is_memory_raised())
+            kept.set_memory_gigabytes_per_task(found->second.declared_memory_gigabytes());
         if (kept.SerializeAsString() != request.SerializeAsString())
             throw error(error_kind::key_conflict, "key: '" + request.key() + "' names a different job");
         return;
@@ -439,6 +441,13 @@
         refuse_decision("the job is not on workers");
     job.set_state(JOB_STOPPING);
     job.set_reason(stop.reason());
+    const std::uint32_t declared = job.request().memory_gigabytes_per_task();
+    if (stop.used_memory_gigabytes() <= declared)
+        return;
+    if (!job.is_memory_raised())
+        job.set_declared_memory_gigabytes(declared);
+    job.set_is_memory_raised(true);
+    job.mutable_request()->set_memory_gigabytes_per_task(stop.used_memory_gigabytes());
 }
 
 void replicated_state::requeue(const RequeueJob& requeue, const Record& record)
--- a/tests/integration/jobs_test.cpp
+++ b/tests/integration/jobs_test.cpp
@@ -292,6 +292,35 @@
     BOOST_TEST(system.read_runs().size() == 2U);
 }
 
+BOOST_AUTO_TEST_CASE(that_uses_far_more_than_declared_is_throttled_or_placed_anew_and_harms_no_neighbour)
+{
+    // Workers of 8 accelerators, 130 cores and 250 GB; each job has half of one.
+    cluster system({.workers = 2, .scheduler_flags = scheduler_flags});
+    system.publish(system.make_configuration());
+    const auto submit = [&](const std::string& key, const std::string& command) {
+        JobRequest job = make_gang("small", key, 1, 0);
+        job.set_accelerators_per_task(4);
+        job.set_memory_gigabytes_per_task(20);
+        job.set_command(command);
+        return system.submit(0, job);
+    };
+    const std::string busy = submit("busy", "run 6000 cores 120 memory 60");
+    wait_for_state(system, busy, JOB_RUNNING, milliseconds(10'000));
+    const std::string greedy = submit("greedy", "run 4000 cores 10 memory 200");
+    wait_for_state(system, busy, JOB_FINISHED, milliseconds(20'000));
+    wait_for_state(system, greedy, JOB_FINISHED, milliseconds(20'000));
+    BOOST_TEST(system.read_job(0, busy).attempt() == 1U);
+    BOOST_TEST(system.read_job(0, greedy).attempt() == 2U);
+    BOOST_TEST(system.read_job(0, greedy).request().memory_gigabytes_per_task() == 200U);
+    // The caller's own resend names the same job still.
+    BOOST_TEST(submit("greedy", "run 4000 cores 10 memory 200") == greedy);
+    for (const task_run& run : system.read_runs()) {
+        if (run.job == busy)
+            BOOST_TEST(run.cores == 65U);
+    }
+    check_gangs(system.read_runs(), 1);
+}
+
 BOOST_AUTO_TEST_CASE(that_fails_everywhere_ends_as_failed_and_a_bad_worker_is_set_aside)
 {
     cluster system({.workers = 4, .scheduler_flags = scheduler_flags});
--- a/tests/scheduling/renewal_sharing_test.cpp
+++ b/tests/scheduling/renewal_sharing_test.cpp
@@ -94,7 +94,7 @@
             report.set_state(static_cast<TaskState>(*rc::gen::inRange(0, 6)));
             expected[order.job() + std::to_string(order.task())] = report.state();
         }
-        const worker_answer read = read_renewal_report(message, make_renewal_report(message, answer));
+        const worker_answer read = read_renewal_report(message, make_renewal_report(state, message, answer));
         RC_ASSERT(read.call == worker_call::answered);
         RC_ASSERT(read.reports.clock_ms() == 5U);
         RC_ASSERT(read.reports.reports_size() == message.orders_size());
@@ -109,7 +109,8 @@
     const WorkerOrders message = make_renewal(state, "w0");
     worker_answer late;
     late.call = worker_call::answered;
-    BOOST_TEST((read_renewal_report(message, make_renewal_report(message, late)).call == worker_call::uncertain));
+    BOOST_TEST(
+        (read_renewal_report(message, make_renewal_report(state, message, late)).call == worker_call::uncertain));
 }
 
 BOOST_AUTO_TEST_CASE(of_workers_with_names_alike_each_scheduler_has_its_part)
@@ -128,7 +129,7 @@
 
 BOOST_AUTO_TEST_CASE(a_standby_is_judged_by_what_it_reached)
 {
-    const auto judge = [](std::vector<RenewalOutcome> outcomes) {
+    const auto judge = [](const std::vector<RenewalOutcome>& outcomes) {
         RenewalAnswer answer;
         for (const RenewalOutcome outcome : outcomes)
             answer.add_reports()->set_outcome(outcome);
--- a/tests/stand_ins/workers.cpp
+++ b/tests/stand_ins/workers.cpp
@@ -1,7 +1,7 @@
 // Stand-in for many workers in one process, each on a port of its own. Tasks run for their expected time, scaled
-// by the command: "run 2000" runs for 2000 ms, "fail" fails at once. GET /runs lists each task's run interval.
-// POST /control with worker and one of hang, fail_all, slow_checkpoint or restart sets a fault.
-// Usage: stand-in-workers HOST FIRST_PORT COUNT
+// by the command: "run 2000" runs for 2000 ms, "fail" fails at once; "run 2000 cores 40 memory 60" uses so much as
+// well. GET /runs lists each task's run interval and the cores it used last. POST /control with worker and one of hang,
+// fail_all, slow_checkpoint or restart sets a fault. Usage: stand-in-workers HOST FIRST_PORT COUNT
 
 #include <atomic>
 #include <iostream>
@@ -28,6 +28,8 @@
     std::uint64_t started_at = 0;
     std::uint64_t ended_at = 0;
     bool fails = false;
+    std::uint32_t cores = 0;
+    std::uint32_t memory = 0;
 };
 
 std::uint64_t read_clock()
@@ -36,6 +38,15 @@
         std::chrono::duration_cast<milliseconds>(read_steady_clock().time_since_epoch()).count());
 }
 
+constexpr std::uint64_t usage_lag_ms = 300;
+
+// The number after the word, or 0.
+std::uint32_t read_number(const std::string& command, const std::string& word)
+{
+    const std::size_t found = command.find(word);
+    return found == std::string::npos ? 0 : static_cast<std::uint32_t>(std::stoul(command.substr(found + word.size())));
+}
+
 class worker {
 public:
     WorkerReports handle(const WorkerOrders& orders)
@@ -61,7 +72,12 @@
             report.set_task(order.task());
             const auto found = this->tasks.find(key);
             report.set_state(found == this->tasks.end() ? TASK_ABSENT : found->second.state);
+            if (report.state() == TASK_RUNNING && now >= found->second.started_at + usage_lag_ms) {
+                report.set_used_cores(found->second.cores);
+                report.set_used_memory_gigabytes(found->second.memory);
+            }
         }
+        reports.set_used_memory_gigabytes(this->sum_memory(now));
         return reports;
     }
 
@@ -75,7 +91,7 @@
                 return;
             const std::uint64_t end = entry.state == TASK_RUNNING ? now : entry.ended_at;
             out << std::get<0>(key) << ' ' << std::get<1>(key) << ' ' << std::get<2>(key) << ' ' << id << ' '
-                << entry.started_at << ' ' << end << ' ' << TaskState_Name(entry.state) << '\n';
+                << entry.started_at << ' ' << end << ' ' << TaskState_Name(entry.state) << ' ' << entry.cores << '\n';
         };
         for (const auto& [key, entry] : this->past)
             print(key, entry);
@@ -118,6 +134,16 @@
         }
     }
 
+    std::uint32_t sum_memory(std::uint64_t now) const
+    {
+        std::uint32_t sum = 0;
+        for (const auto& [key, entry] : this->tasks) {
+            if (entry.state == TASK_RUNNING && now >= entry.started_at + usage_lag_ms)
+                sum += entry.memory;
+        }
+        return sum;
+    }
+
     void forget_all()
     {
         this->past.insert(this->tasks.begin(), this->tasks.end());
@@ -129,7 +155,7 @@
         const auto found = this->tasks.find(key);
         if (order.action() == TASK_HOLD) {
             if (found == this->tasks.end() && !this->past.contains(key))
-                this->tasks[key] = {TASK_HELD, now + order.lease_ms(), 0, 0, 0, false};
+                this->tasks[key] = {TASK_HELD, now + order.lease_ms()};
             return;
         }
         if (found == this->tasks.end())
@@ -143,6 +169,8 @@
         case TASK_RENEW:
             if (entry.state == TASK_RUNNING)
                 entry.lease_until = now + order.lease_ms();
+            if (order.cores_limit() != 0)
+                entry.cores = std::min(entry.cores, order.cores_limit());
             break;
         case TASK_CHECKPOINT:
             if (entry.state == TASK_RUNNING)
@@ -166,6 +194,8 @@
         std::uint64_t run_ms = order.expected_run_ms();
         if (order.command().starts_with("run "))
             run_ms = std::stoull(order.command().substr(4));
+        entry.cores = read_number(order.command(), " cores ");
+        entry.memory = read_number(order.command(), " memory ");
         entry.fails = this->fails_all || order.command() == "fail";
         entry.state = TASK_RUNNING;
         entry.started_at = now;
--- a/tests/support/cluster.cpp
+++ b/tests/support/cluster.cpp
@@ -50,7 +50,7 @@
 {
     constexpr int lowest = 12'000;
     constexpr int highest = 32'000;
-    static int next = lowest + (getpid() * 97) % (highest - lowest);
+    static int next = lowest + (getpid() * 7919) % (highest - lowest);
     while (true) {
         if (next + count >= highest)
             next = lowest;
@@ -227,6 +227,11 @@
     this->scheduler(index) = process(this->folder, name, command);
 }
 
+std::string cluster::platform_address() const
+{
+    return address_of(this->ports.at("platform"));
+}
+
 void cluster::wait_ready(const std::string& role, int index) const
 {
     const std::string name = role + std::to_string(index);
@@ -415,8 +420,8 @@
     const auto answer = client.Get("/runs");
     std::vector<task_run> runs;
     std::istringstream text(answer ? answer->body : "");
-    for (task_run run;
-         text >> run.job >> run.attempt >> run.task >> run.worker >> run.begin_ms >> run.end_ms >> run.state;)
+    for (task_run run; text >> run.job >> run.attempt >> run.task >> run.worker >> run.begin_ms >> run.end_ms >>
+                       run.state >> run.cores;)
         runs.push_back(run);
     return runs;
 }
--- a/tests/support/cluster.h
+++ b/tests/support/cluster.h
@@ -44,6 +44,7 @@
     std::uint64_t begin_ms = 0;
     std::uint64_t end_ms = 0;
     std::string state;
+    std::uint32_t cores = 0; // Used last.
 };
 
 class cluster {
@@ -68,8 +69,10 @@
     void start_entry(int index);
     [[nodiscard]] int entry_count() const { return this->options.entries; }
     void start_scheduler(int index);
+    void wait_ready(const std::string& role, int index) const; // Until /readyz answers 200.
     process& entry(int index) { return this->entries.at(static_cast<std::size_t>(index)); }
     process& scheduler(int index) { return this->schedulers.at(static_cast<std::size_t>(index)); }
+    [[nodiscard]] std::string platform_address() const;
     process& platform() { return this->platform_process; }
 
     // Sends a request to an entry's caller port.
@@ -117,7 +120,6 @@
 
 private:
     std::string list_peers(const std::string& name) const;
-    void wait_ready(const std::string& role, int index) const;
     void post_form(int port, const std::string& path, const std::string& form) const;
     std::vector<std::string> make_common_flags(const std::string& name);
 
