--- a/benchmarks/measure_system.cpp
+++ b/benchmarks/measure_system.cpp
@@ -1,6 +1,7 @@
 // Measurements on real processes behind the stand-ins: the time from the death of the holder to the next start, the
-// spread of a configuration version, the times in which members are missed, silent connections, and long outages of the
-// log. Usage: WIGEON_BUILD=build measure-system failover|spread|membership|silence [rounds]
+// spread of a configuration version, the times in which members are missed, silent connections, the start of a fresh
+// process, and long outages of the log.
+// Usage: WIGEON_BUILD=build measure-system failover|spread|membership|silence|fresh [rounds]
 //        WIGEON_BUILD=build measure-system outage|slow [seconds]
 
 #include <algorithm>
@@ -11,6 +12,9 @@
 #include <thread>
 
 #include "base/json.h"
+#include "benchmarks/fleet_maker.h"
+#include "platform/log_service.h"
+#include "replica/replica.h"
 #include "support/cluster.h"
 
 namespace wigeon::test {
@@ -100,7 +104,7 @@
 // From the signal to an entry, or its start, until a scheduler counts it so. Default times of beats.
 void measure_membership(int rounds)
 {
-    const std::vector<std::string> flags = {"--beat_interval_ms=1000", "--idle_beat_interval_ms=4000",
+    const std::vector<std::string> flags = {"--beat_interval_ms=1000", "--idle_beat_interval_ms=8000",
                                             "--peer_timeout_ms=3500"};
     cluster system(
         {.entries = 6, .schedulers = 6, .workers = 2, .executors = 1, .entry_flags = flags, .scheduler_flags = flags});
@@ -243,6 +247,37 @@
                 system.status(0, "term").c_str());
 }
 
+// Puts a snapshot with this many running tasks, and records after it, in the log; then an entry starts.
+void measure_fresh(int rounds)
+{
+    constexpr int renewals = 2'000;
+    for (const int tasks : {0, 2'500, 5'000, 10'000}) {
+        cluster system({.entries = 1, .schedulers = 1, .workers = 1, .executors = 1});
+        system.scheduler(0).kill();
+        system.entry(0).kill();
+        const auto log = make_http_log_service(system.platform_address(), milliseconds(30'000));
+        SystemState state = make_loaded_state({1'900, 2, 16, 15, 88, 1}, tasks, 0);
+        state.set_next_offset(
+            log->read(replica::main_stream, log_service::end_of_stream, milliseconds(0)).end_offset());
+        log->append(replica::snapshot_stream, std::vector<std::string>{state.SerializeAsString()});
+        Record renewal;
+        renewal.mutable_renewal()->set_term(1);
+        renewal.mutable_renewal()->set_lease_ms(1'200);
+        log->append(replica::main_stream, std::vector<std::string>(renewals, renewal.SerializeAsString()));
+        std::vector<double> times;
+        for (int i = 0; i < rounds; ++i) {
+            const steady_time begin = read_steady_clock();
+            system.start_entry(0);
+            system.wait_ready("entry", 0);
+            times.push_back(static_cast<double>(elapsed_ms(begin, read_steady_clock()).count()));
+            system.entry(0).kill();
+        }
+        const std::string what = "start of an entry to ready, " + std::to_string(tasks) + " tasks, " +
+                                 std::to_string(state.ByteSizeLong()) + " bytes of snapshot";
+        print_quantiles(what.c_str(), times);
+    }
+}
+
 } // namespace
 
 } // namespace wigeon::test
@@ -259,10 +294,13 @@
         wigeon::test::measure_membership(rounds);
     else if (what == "silence")
         wigeon::test::measure_silence(rounds);
+    else if (what == "fresh")
+        wigeon::test::measure_fresh(rounds);
     else if (what == "outage")
         wigeon::test::measure_outage(rounds);
     else if (what == "slow")
         wigeon::test::measure_slow_log(rounds);
     else
-        std::printf("usage: measure-system failover|spread|membership|silence [rounds], or outage|slow [seconds]\n");
+        std::printf(
+            "usage: measure-system failover|spread|membership|silence|fresh [rounds], or outage|slow [seconds]\n");
 }
