--- a/tests/integration/requests_test.cpp
+++ b/tests/integration/requests_test.cpp
@@ -1,85 +1,20 @@
-// Requests from callers through real entries to executors, behind the fault-injecting proxy.
+// Requests from callers through real entries to executors, behind the fault-injecting proxy: at most once, whole
+// answers, silent connections. Leaving, overload and malformed input are in overload_test.cpp.
 
 #include <array>
 #include <atomic>
 #include <csignal>
-#include <mutex>
 #include <random>
-#include <sstream>
 #include <thread>
 
 #include <boost/test/unit_test.hpp>
 
+#include "support/callers.h"
 #include "support/cluster.h"
 #include "support/timing.h"
 
 namespace wigeon::test {
 
-namespace {
-
-using headers = std::map<std::string, std::string>;
-
-// What callers were told, by request id.
-struct caller_book {
-    std::mutex mutex;
-    std::map<std::string, http_reply> replies;
-
-    void note(const std::string& id, http_reply reply)
-    {
-        const std::lock_guard lock(this->mutex);
-        this->replies[id] = std::move(reply);
-    }
-};
-
-std::string execution_of(const http_reply& reply)
-{
-    const auto found = reply.headers.find("Wigeon-Execution");
-    return found == reply.headers.end() ? "" : found->second;
-}
-
-// Holds every answer against the executors' own counts.
-void check_against_runs(const caller_book& book, const std::map<std::string, int>& runs)
-{
-    for (const auto& [id, reply] : book.replies) {
-        const auto found = runs.find(id);
-        const int count = found == runs.end() ? 0 : found->second;
-        BOOST_TEST(count <= 1, id << " ran " << count << " times");
-        if (reply.status == 200) {
-            BOOST_TEST(count == 1, id << " was answered but ran " << count << " times");
-            BOOST_TEST(reply.body == "answer " + id + " body-of-" + id);
-        }
-        if (execution_of(reply) == "did_not_run")
-            BOOST_TEST(count == 0, id << " was told 'did not run' but ran: " << reply.body);
-    }
-}
-
-// Callers that send requests one after the other, each to the entries in turn.
-void run_callers(const cluster& system, caller_book& book, int callers, int requests_each, const std::string& path,
-                 const headers& extra = {})
-{
-    std::vector<std::thread> threads;
-    for (int caller = 0; caller < callers; ++caller) {
-        threads.emplace_back([&, caller] {
-            for (int i = 0; i < requests_each; ++i) {
-                const std::string id = "c" + std::to_string(caller) + "-" + std::to_string(i);
-                book.note(id, system.request(i % system.entry_count(), id, path, extra));
-            }
-        });
-    }
-    for (std::thread& thread : threads)
-        thread.join();
-}
-
-int count_status(const caller_book& book, int status)
-{
-    int count = 0;
-    for (const auto& [id, reply] : book.replies)
-        count += reply.status == status;
-    return count;
-}
-
-} // namespace
-
 BOOST_AUTO_TEST_SUITE(requests_story)
 
 BOOST_AUTO_TEST_SUITE(a_request_that_is_not_idempotent)
@@ -297,130 +232,6 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
-BOOST_AUTO_TEST_SUITE(leaving)
-
-BOOST_AUTO_TEST_CASE(an_executor_gets_no_new_work_after_a_few_seconds)
-{
-    cluster system({.executors = 2});
-    system.publish(system.make_configuration());
-    caller_book book;
-    run_callers(system, book, 4, 20, "/run/1");
-    BOOST_TEST(system.count_received(0) > 0);
-    system.set_host_leaving("e0", true);
-    std::this_thread::sleep_for(milliseconds(5'000));
-    const int before = system.count_received(0);
-    run_callers(system, book, 4, 40, "/run/1");
-    BOOST_TEST(system.count_received(0) == before);
-}
-
-BOOST_AUTO_TEST_CASE(an_entry_cuts_off_nothing_in_flight)
-{
-    cluster system({.executors = 2});
-    system.publish(system.make_configuration());
-    caller_book book;
-    std::vector<std::thread> threads;
-    for (int i = 0; i < 4; ++i) {
-        threads.emplace_back([&, i] {
-            const std::string id = "slow-" + std::to_string(i);
-            book.note(id, system.request(0, id, "/run/4000"));
-        });
-    }
-    cluster::wait_until([&] { return system.read_request_runs().size() == 4; }, milliseconds(5'000), "the requests");
-    system.entry(0).signal(SIGTERM);
-    BOOST_TEST(system.entry(0).wait() == 0);
-    for (std::thread& thread : threads)
-        thread.join();
-    BOOST_TEST(count_status(book, 200) == 4);
-}
-
-BOOST_AUTO_TEST_SUITE_END()
-
-BOOST_AUTO_TEST_SUITE(overload)
-
-BOOST_AUTO_TEST_CASE(by_one_account_leaves_another_its_share)
-{
-    cluster system({.executors = 1, .slots = 8});
-    system.publish(system.make_configuration());
-    std::atomic<bool> is_done = false;
-    std::vector<std::thread> flood;
-    for (int i = 0; i < 40; ++i) {
-        flood.emplace_back([&, i] {
-            for (int j = 0; !is_done; ++j)
-                system.request(i % 2, "f" + std::to_string(i) + "-" + std::to_string(j), "/run/50",
-                               {{"Wigeon-Account", "large"}, {"Wigeon-Class", "urgent"}});
-        });
-    }
-    std::this_thread::sleep_for(milliseconds(500));
-    caller_book book;
-    run_callers(system, book, 2, 30, "/run/50", {{"Wigeon-Deadline-Ms", "2000"}});
-    is_done = true;
-    for (std::thread& thread : flood)
-        thread.join();
-    BOOST_TEST(count_status(book, 200) == 60);
-}
-
-BOOST_AUTO_TEST_CASE(is_not_multiplied_by_retries)
-{
-    cluster system({.entries = 1, .executors = 2});
-    system.publish(system.make_configuration());
-    system.set_executor("all", "refuse=1");
-    caller_book book;
-    std::vector<std::thread> threads;
-    for (int i = 0; i < 4; ++i) {
-        threads.emplace_back([&, i] {
-            for (int j = 0; j < 100; ++j) {
-                const std::string id = "s" + std::to_string(i) + "-" + std::to_string(j);
-                book.note(id, system.request(0, id, "/run/1",
-                                             {{"Wigeon-Idempotent", "true"}, {"Wigeon-Deadline-Ms", "300"}}));
-            }
-        });
-    }
-    for (std::thread& thread : threads)
-        thread.join();
-    int received = 0;
-    std::istringstream text(system.read_executor_loads());
-    for (int in_use = 0, most = 0, over = 0, count = 0; text >> in_use >> most >> over >> count;)
-        received += count;
-    // The bound of 1.1 times the callers' load, and the two retries that a quiet entry has in hand.
-    BOOST_TEST(received <= 442);
-    BOOST_TEST(count_status(book, 200) == 0);
-    system.set_executor("all", "refuse=0");
-    cluster::wait_until([&] { return system.request(0, "recovered", "/run/1").status == 200; }, milliseconds(5'000),
-                        "the recovery");
-}
-
-BOOST_AUTO_TEST_SUITE_END()
-
-BOOST_AUTO_TEST_SUITE(malformed_input)
-
-BOOST_AUTO_TEST_CASE(is_refused_with_the_field_named)
-{
-    cluster system({.entries = 1, .schedulers = 1});
-    system.publish(system.make_configuration());
-    const auto submit = [&](const std::string& body) { return system.post(0, "/v1/jobs", body); };
-    const auto check = [](const http_reply& reply, int status, const std::string& named) {
-        BOOST_TEST(reply.status == status, reply.body);
-        BOOST_TEST(reply.body.find(named) != std::string::npos, reply.body);
-    };
-    check(submit("{"), 400, "malformed_request");
-    check(submit(R"({"surprise": 1})"), 400, "surprise");
-    check(submit(R"({"account": "small", "job_class": "batch", "tasks": -2})"), 400, "tasks");
-    check(submit(R"({"account": "small", "job_class": "batch", "key": "k"})"), 400, "tasks");
-    check(submit(R"({"account": "nobody", "job_class": "batch", "tasks": 1})"), 403, "nobody");
-    check(submit(R"({"account": "small", "job_class": "none", "tasks": 1})"), 400, "job_class");
-    check(submit(R"({"account": "small", "job_class": "batch", "tasks": 99, "accelerators_per_task": 8})"), 422,
-          "largest gang of this shape is 4");
-    check(submit(std::string(2'000'000, 'x')), 413, "body_too_large");
-    check(system.request(0, "x", "/run/1", {{"Wigeon-Deadline-Ms", "soon"}}), 400, "Wigeon-Deadline-Ms");
-    check(system.request(0, "x", "/run/1", {{"Wigeon-Class", "none"}}), 400, "Wigeon-Class");
-    check(system.request(0, "x", "/run/1", {{"Wigeon-Idempotent", "maybe"}}), 400, "Wigeon-Idempotent");
-    check(system.request(0, "x", "/run/1", {{"Idempotency-Key", std::string(200, 'k')}}), 400, "Idempotency-Key");
-    BOOST_TEST(system.request(0, "x", "/run/1", {{"X-Large", std::string(20'000, 'h')}}).status >= 400);
-    BOOST_TEST(system.request(0, "fine", "/run/1").status == 200);
-}
-
-BOOST_AUTO_TEST_SUITE_END()
-
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace wigeon::test
--- /dev/null
+++ b/tests/support/callers.cpp
@@ -0,0 +1,56 @@
+// Sending and checking.
+
+#include "support/callers.h"
+
+#include <thread>
+
+#include <boost/test/unit_test.hpp>
+
+namespace wigeon::test {
+
+std::string execution_of(const http_reply& reply)
+{
+    const auto found = reply.headers.find("Wigeon-Execution");
+    return found == reply.headers.end() ? "" : found->second;
+}
+
+void check_against_runs(const caller_book& book, const std::map<std::string, int>& runs)
+{
+    for (const auto& [id, reply] : book.replies) {
+        const auto found = runs.find(id);
+        const int count = found == runs.end() ? 0 : found->second;
+        BOOST_TEST(count <= 1, id << " ran " << count << " times");
+        if (reply.status == 200) {
+            BOOST_TEST(count == 1, id << " was answered but ran " << count << " times");
+            BOOST_TEST(reply.body == "answer " + id + " body-of-" + id);
+        }
+        if (execution_of(reply) == "did_not_run")
+            BOOST_TEST(count == 0, id << " was told 'did not run' but ran: " << reply.body);
+    }
+}
+
+void run_callers(const cluster& system, caller_book& book, int callers, int requests_each, const std::string& path,
+                 const headers& extra)
+{
+    std::vector<std::thread> threads;
+    for (int caller = 0; caller < callers; ++caller) {
+        threads.emplace_back([&, caller] {
+            for (int i = 0; i < requests_each; ++i) {
+                const std::string id = "c" + std::to_string(caller) + "-" + std::to_string(i);
+                book.note(id, system.request(i % system.entry_count(), id, path, extra));
+            }
+        });
+    }
+    for (std::thread& thread : threads)
+        thread.join();
+}
+
+int count_status(const caller_book& book, int status)
+{
+    int count = 0;
+    for (const auto& [id, reply] : book.replies)
+        count += reply.status == status;
+    return count;
+}
+
+} // namespace wigeon::test
