--- a/libraries/scheduling/operator_api.cpp
+++ b/libraries/scheduling/operator_api.cpp
@@ -19,6 +19,18 @@
     return "[" + text + "]";
 }
 
+// Workers that take no new work, for whatever reason.
+worker_set list_unusable(const replicated_state& current, worker_set unreachable)
+{
+    for (const auto& [worker, quarantine] : current.quarantines())
+        unreachable.insert(worker);
+    for (const Worker& worker : current.configuration().workers()) {
+        if (worker.is_draining())
+            unreachable.insert(worker.id());
+    }
+    return unreachable;
+}
+
 // Workers that bind part of the account's guarantee.
 std::string list_bound(const fleet_view& view, std::string_view account)
 {
@@ -81,11 +93,12 @@
 {
     const worker_set unreachable = this->loop.unreachable_workers();
     return this->state.read([&](const replicated_state& current) {
-        const fleet_view view(current, unreachable);
+        const fleet_view view(current, list_unusable(current, unreachable));
         std::vector<std::string> rows;
         for (const index_range& rack : view.layout().racks) {
             std::uint64_t capacity = 0;
             std::uint64_t used = 0;
+            std::uint64_t free = 0;
             std::uint64_t covered = 0;
             std::uint64_t reserved = 0;
             std::uint64_t usable = 0;
@@ -95,7 +108,8 @@
                 used += room.used;
                 covered += room.covered;
                 reserved += room.reserved;
-                usable += room.is_usable && !current.quarantines().contains(view.layout().places[i].worker->id());
+                usable += room.is_usable;
+                free += room.is_usable ? room.capacity - std::min(room.capacity, room.used) : 0;
             }
             const Worker& first = *view.layout().places[rack.begin].worker;
             json_object row;
@@ -104,7 +118,7 @@
             row.add("workers", std::uint64_t{rack.end - rack.begin});
             row.add("usable_workers", usable);
             row.add("accelerators", capacity);
-            row.add("free", capacity - std::min(capacity, used));
+            row.add("free", free);
             row.add("guaranteed", reserved);
             row.add("used_in_guarantee", covered);
             row.add("borrowed", used - covered);
--- a/tests/integration/configuration_test.cpp
+++ b/tests/integration/configuration_test.cpp
@@ -102,6 +102,18 @@
     BOOST_TEST(system.version_at("entry", 0) == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(see_that_a_drained_worker_takes_no_new_work)
+{
+    cluster system({.workers = 2, .executors = 1});
+    system.publish(system.make_configuration());
+    BOOST_TEST(system.control({"drain", "worker", "w0"}).exit_code == 0);
+    cluster::wait_until([&] { return is_in_force_everywhere(system, 2, 2, 2); }, force_limit, "version 2");
+    const std::string address = system.operator_address("scheduler", system.find_holder());
+    const std::string fleet = system.control({"fleet", "--scheduler_address=" + address}).output;
+    BOOST_TEST(fleet.find("\"usable_workers\":1") != std::string::npos, fleet);
+    BOOST_TEST(fleet.find("\"free\":8") != std::string::npos, fleet);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(a_version_in_force)
--- a/tests/support/cluster.cpp
+++ b/tests/support/cluster.cpp
@@ -232,6 +232,11 @@
     return address_of(this->ports.at("platform"));
 }
 
+std::string cluster::operator_address(const std::string& role, int index) const
+{
+    return address_of(this->ports.at("operator:" + role + std::to_string(index)));
+}
+
 void cluster::wait_ready(const std::string& role, int index) const
 {
     const std::string name = role + std::to_string(index);
--- a/tests/support/cluster.h
+++ b/tests/support/cluster.h
@@ -73,6 +73,7 @@
     process& entry(int index) { return this->entries.at(static_cast<std::size_t>(index)); }
     process& scheduler(int index) { return this->schedulers.at(static_cast<std::size_t>(index)); }
     [[nodiscard]] std::string platform_address() const;
+    [[nodiscard]] std::string operator_address(const std::string& role, int index) const;
     process& platform() { return this->platform_process; }
 
     // Sends a request to an entry's caller port.
