Let leases hold though the clocks of two hosts run 2% apart

Cause: by reading, then by a directed model test: a holder whose clock is slow acts for its lease longer than a standby waits whose clock is fast. With a lease of 9 s, as on a slow log, and rates 2% apart two schedulers acted at once. The random schedules could not show it: there a claim takes longer than the drift. A standby now waits a fiftieth of the lease longer (24 ms of 1.2 s). The same for tasks: the driver counts a lease on a worker a fiftieth longer, and the limit of an order in the worker's clock is reckoned as if that clock were slow, so that none is carried out late. After: unit suite, gangs and holders with processes green.

--- a/libraries/base/time.h
+++ b/libraries/base/time.h
@@ -24,6 +24,18 @@
     return static_cast<std::uint64_t>(std::chrono::duration_cast<milliseconds>(since_epoch).count());
 }
 
+// The rates of two hosts' clocks differ by at most a fiftieth. This is by how much.
+inline milliseconds find_drift(milliseconds time)
+{
+    return time / 50;
+}
+
+// The time after which another host's lease has ended, whatever its clock.
+inline milliseconds outlast(milliseconds lease)
+{
+    return lease + find_drift(lease);
+}
+
 inline milliseconds elapsed_ms(steady_time from, steady_time to)
 {
     return std::chrono::duration_cast<milliseconds>(to - from);
--- a/libraries/scheduling/gang_driver.cpp
+++ b/libraries/scheduling/gang_driver.cpp
@@ -164,7 +164,8 @@
     if (action == TASK_HOLD || action == TASK_RELEASE || action == TASK_RENEW) {
         const milliseconds lease = action == TASK_HOLD ? this->options.hold : this->options.lease;
         order.set_lease_ms(static_cast<std::uint64_t>(lease.count()));
-        task.ordered_until = std::max(task.ordered_until, now + message_lifetime + this->options.call_limit + lease);
+        task.ordered_until =
+            std::max(task.ordered_until, now + message_lifetime + this->options.call_limit + outlast(lease));
         task.lease_until = std::max(task.lease_until, task.ordered_until);
     }
 }
@@ -343,7 +344,7 @@
         task->renewed_at = sent_at;
         // Orders of an earlier holder are fenced from here on: what they extended ends at most one lease after the
         // answer. An own order that was given up may reach the worker after it.
-        const steady_time extended_until = now + std::max(this->options.lease, this->options.hold);
+        const steady_time extended_until = now + outlast(std::max(this->options.lease, this->options.hold));
         task->lease_until = is_live(report.state()) ? std::max(extended_until, task->ordered_until) : now;
     }
     this->note_usage(answer.reports, now);
--- a/libraries/scheduling/scheduler_loop.cpp
+++ b/libraries/scheduling/scheduler_loop.cpp
@@ -46,7 +46,7 @@
     options.checkpoint_limit = milliseconds(settings.checkpoint_limit_ms());
     options.call_limit = milliseconds(settings.worker_timeout_ms());
     options.ping_interval = milliseconds(settings.ping_interval_ms());
-    options.adoption_limit = std::chrono::seconds(settings.unconfirmed_limit_s()) + options.lease;
+    options.adoption_limit = outlast(std::chrono::seconds(settings.unconfirmed_limit_s()) + options.lease);
     options.job_attempts = settings.job_attempts();
     return options;
 }
--- a/libraries/scheduling/term_keeper.cpp
+++ b/libraries/scheduling/term_keeper.cpp
@@ -57,7 +57,7 @@
         this->options.claim_jitter + (this->is_resting(now) ? this->options.rest_delay : milliseconds(0));
     // On slow reads a renewal may be in the log that the next answer brings; a claim before it would be void.
     const milliseconds unread = this->answer_gap > shortest_answer_limit ? this->answer_gap : milliseconds(0);
-    const bool is_silent = now - this->last_progress > this->view.lease + delay + unread;
+    const bool is_silent = now - this->last_progress > outlast(this->view.lease) + delay + unread;
     return is_silent ? term_action::claim : term_action::nothing;
 }
 
--- a/libraries/scheduling/worker_contacts.cpp
+++ b/libraries/scheduling/worker_contacts.cpp
@@ -74,7 +74,8 @@
     const contact* entry = this->find(worker);
     if (entry == nullptr || entry->clock_ms == 0)
         return std::nullopt;
-    return entry->clock_ms + static_cast<std::uint64_t>(elapsed_ms(entry->clock_read_at, then).count());
+    const milliseconds elapsed = elapsed_ms(entry->clock_read_at, then);
+    return entry->clock_ms + static_cast<std::uint64_t>((elapsed - find_drift(elapsed)).count());
 }
 
 std::vector<std::string> worker_contacts::list_silent(steady_time now, milliseconds limit) const
--- a/libraries/scheduling/worker_contacts.h
+++ b/libraries/scheduling/worker_contacts.h
@@ -36,7 +36,7 @@
 
     [[nodiscard]] bool is_silent(const std::string& worker) const;
 
-    // The worker's clock at `then` at the latest, or nothing when it never answered.
+    // What the worker's clock shows at `then` at least, even if it runs slower, or nothing when it never answered.
     [[nodiscard]] std::optional<std::uint64_t> find_clock_ms(const std::string& worker, steady_time then) const;
 
     // Workers without an answer for at least this long, among those that were asked.
