Prove that a holder cut off from the log only is followed and takes nothing back

With processes: another scheduler takes the term, the running gang goes on in its first attempt, a new one runs, and the old holder comes back as a standby.

--- a/tests/integration/holder_test.cpp
+++ b/tests/integration/holder_test.cpp
@@ -49,6 +49,31 @@
     BOOST_TEST(system.status(holder, "term") == term);
 }
 
+BOOST_AUTO_TEST_CASE(that_is_cut_off_from_the_log_only_is_followed_and_takes_nothing_back)
+{
+    // The leases of tasks must outlast the change of the term, as the default of 15 s does.
+    std::vector<std::string> flags = scheduler_flags;
+    flags.front() = "--lease_ms=6000";
+    cluster system({.schedulers = 3, .workers = 4, .scheduler_flags = flags});
+    system.publish(system.make_configuration());
+    system.submit(0, make_gang("large", "long", 2, 9'000));
+    wait_for_state(system, "large/long", JOB_RUNNING, milliseconds(10'000));
+    const int cut_off = system.find_holder();
+    const std::string log_of_holder = "log:scheduler" + std::to_string(cut_off);
+    system.set_fault(log_of_holder, "refuse");
+    system.submit(0, make_gang("small", "next", 2, 500));
+    wait_for_state(system, "small/next", JOB_FINISHED, milliseconds(20'000));
+    const std::string successor = system.status((cut_off + 1) % 3, "holder");
+    // It comes back as a standby.
+    system.set_fault(log_of_holder, "none");
+    cluster::wait_until([&] { return system.status(cut_off, "holder") == successor; }, milliseconds(10'000),
+                        "the log to reach the old holder");
+    BOOST_TEST(system.status(cut_off, "is_holder") == "false");
+    wait_for_state(system, "large/long", JOB_FINISHED, milliseconds(20'000));
+    BOOST_TEST(system.read_job(0, "large/long").attempt() == 1U);
+    check_gangs(system.read_runs(), 2);
+}
+
 BOOST_AUTO_TEST_CASE(shares_renewals_with_the_standbys_and_outlives_their_loss)
 {
     cluster system({.schedulers = 3, .workers = 8, .scheduler_flags = scheduler_flags});
