--- /dev/null
+++ b/libraries/entry/caller_api.h
@@ -0,0 +1,47 @@
+// The HTTP interface for callers: requests that are forwarded to executors, and jobs.
+
+#pragma once
+
+#include <atomic>
+#include <functional>
+#include <string>
+
+#include <httplib.h>
+
+#include "entry/request_service.h"
+#include "replica/replica.h"
+#include "wigeon.pb.h"
+
+namespace wigeon {
+
+class caller_api {
+public:
+    caller_api(const EntrySettings& settings, replica& state, request_service& requests,
+               std::function<bool()> is_ready);
+
+    void add_routes(httplib::Server& server);
+
+    // From now on each answer closes its connection, so that no caller keeps one that is about to end.
+    void begin_shutdown() { this->closing = true; }
+
+    [[nodiscard]] std::uint32_t in_flight() const { return this->active; }
+
+private:
+    using handler = std::function<void(const httplib::Request&, httplib::Response&)>;
+
+    httplib::Server::Handler guard(handler inner);
+    void check_caller(const httplib::Request& request, std::string_view account) const;
+    void forward(const httplib::Request& request, httplib::Response& answer);
+    void submit_job(const httplib::Request& request, httplib::Response& answer);
+    void show_job(const httplib::Request& request, httplib::Response& answer) const;
+    void cancel_jobs(const httplib::Request& request, httplib::Response& answer);
+
+    const EntrySettings settings;
+    replica& state;
+    request_service& requests;
+    std::function<bool()> is_ready;
+    std::atomic<bool> closing = false;
+    std::atomic<std::uint32_t> active = 0;
+};
+
+} // namespace wigeon
--- /dev/null
+++ b/libraries/entry/request_service.cpp
@@ -0,0 +1,237 @@
+// At most once for what is not idempotent; bounded retries for the rest.
+
+#include "entry/request_service.h"
+
+#include <algorithm>
+#include <random>
+
+#include "base/metrics.h"
+#include "state/configuration.h"
+
+namespace wigeon {
+
+namespace {
+
+// A request that must not be sent twice only gets a connection that answered this recently.
+constexpr milliseconds strict_freshness{500};
+constexpr milliseconds usual_freshness{5000};
+constexpr milliseconds longest_backoff{50};
+constexpr int attempt_limit = 4;
+constexpr milliseconds key_note_limit{2000};
+
+class active_guard {
+public:
+    explicit active_guard(std::atomic<std::uint32_t>& counter) : counter(counter) { ++this->counter; }
+    ~active_guard() { --this->counter; }
+    active_guard(const active_guard&) = delete;
+    active_guard& operator=(const active_guard&) = delete;
+
+private:
+    std::atomic<std::uint32_t>& counter;
+};
+
+std::string_view name_outcome(const executor_answer& answer)
+{
+    switch (answer.outcome) {
+    case exchange_outcome::refused:
+        return "executor_refused";
+    case exchange_outcome::unreachable:
+        return "executor_unreachable";
+    case exchange_outcome::failed_answer:
+        return "failed_answer";
+    default:
+        return answer.is_timeout ? "silent_connection" : "answer_broken";
+    }
+}
+
+milliseconds draw_backoff()
+{
+    thread_local std::minstd_rand random(std::random_device{}());
+    return milliseconds(std::uniform_int_distribution<int>(0, static_cast<int>(longest_backoff.count()))(random));
+}
+
+} // namespace
+
+request_service::request_service(const EntrySettings& settings, replica& state, admission& gate, connection_pool& pool,
+                                 std::function<bool(std::uint64_t)> is_alive)
+    : settings(settings),
+      state(state),
+      gate(gate),
+      pool(pool),
+      is_alive(std::move(is_alive)),
+      budget(settings.retry_budget())
+{
+}
+
+admission_request request_service::make_admission(const caller_request& request, steady_time deadline) const
+{
+    admission_request admitted;
+    admitted.account = request.account;
+    admitted.job_class = request.job_class;
+    admitted.deadline = deadline;
+    this->state.read([&](const replicated_state& current) {
+        const Account* account = find_account(current.configuration(), request.account);
+        if (account == nullptr)
+            throw error(error_kind::unknown_account, "Wigeon-Account: '" + request.account + "' is not configured");
+        const JobClass* job_class = find_class(current.configuration(), request.job_class);
+        if (job_class == nullptr)
+            throw error(error_kind::unknown_class, "Wigeon-Class: '" + request.job_class + "' is not configured");
+        admitted.weights = {account->weight(), job_class->weight()};
+    });
+    return admitted;
+}
+
+void request_service::refuse_key(const caller_request& request) const
+{
+    const KeyState known = this->state.read([&](const replicated_state& current) {
+        const KeyState* found = current.find_key(request.account, request.key);
+        return found == nullptr ? KeyState{} : *found;
+    });
+    const std::string detail = "Idempotency-Key: '" + request.key + "'";
+    if (known.outcome() == KEY_RAN)
+        throw error(error_kind::key_ran, detail + " ran with status " + std::to_string(known.status()));
+    if (known.outcome() == KEY_TAKEN && this->is_alive(known.author()))
+        throw error(error_kind::key_in_progress, detail + " is in progress");
+    // The process that took the key is gone and left no outcome.
+    throw error(error_kind::key_may_have_run, detail + " has no known outcome");
+}
+
+// The log decides which of several requests with one key may run, whichever entries they came to.
+void request_service::take_key(const caller_request& request, steady_time deadline)
+{
+    const std::uint64_t now = read_wall_clock_ms();
+    const bool is_expired =
+        request.first_sent_ms != 0 && request.first_sent_ms + replicated_state::key_lifetime_ms < now;
+    if (is_expired)
+        throw error(error_kind::key_expired, "Wigeon-First-Sent-Ms: older than the lifetime of keys");
+    const bool is_known = this->state.read([&](const replicated_state& current) {
+        const KeyState* found = current.find_key(request.account, request.key);
+        return found != nullptr && found->outcome() != KEY_NOT_RUN;
+    });
+    if (is_known)
+        this->refuse_key(request);
+    Record record;
+    record.mutable_key()->set_account(request.account);
+    record.mutable_key()->set_key(request.key);
+    record.mutable_key()->set_outcome(KEY_TAKEN);
+    const steady_time limit = std::min(deadline, read_steady_clock() + key_note_limit);
+    apply_result result;
+    try {
+        result = this->state.submit(std::move(record), limit);
+    }
+    catch (const error& failure) {
+        // Nothing was sent to an executor, and this entry will not send it any more.
+        throw error(error_kind::log_unavailable, std::string("the key could not be noted: ") + failure.what());
+    }
+    if (result.outcome != apply_outcome::applied)
+        this->refuse_key(request);
+}
+
+void request_service::note_key(const caller_request& request, KeyOutcome outcome, int status)
+{
+    Record record;
+    record.mutable_key()->set_account(request.account);
+    record.mutable_key()->set_key(request.key);
+    record.mutable_key()->set_outcome(outcome);
+    record.mutable_key()->set_status(static_cast<std::uint32_t>(status));
+    // The answer does not wait for this note: without it, a resend is told that the request may have run.
+    this->state.submit_later(std::move(record), read_steady_clock() + key_note_limit);
+}
+
+executor_answer request_service::serve(const caller_request& request)
+{
+    const active_guard guard(this->active);
+    const steady_time deadline = read_steady_clock() + request.time_limit;
+    const bool is_keyed = !request.key.empty() && !request.forwarded.is_idempotent;
+    {
+        const std::lock_guard lock(this->budget_mutex);
+        this->budget.note_request();
+    }
+    this->make_admission(request, deadline);
+    if (!is_keyed)
+        return this->run(request, deadline);
+    this->take_key(request, deadline);
+    try {
+        executor_answer answer = this->run(request, deadline);
+        this->note_key(request, KEY_RAN, answer.status);
+        return answer;
+    }
+    catch (const error& failure) {
+        const bool did_not_run = find_answer(failure.kind()).ran == execution::did_not_run;
+        this->note_key(request, did_not_run ? KEY_NOT_RUN : KEY_MAY_HAVE_RUN, 0);
+        throw;
+    }
+}
+
+request_service::attempt_result request_service::try_once(const caller_request& request,
+                                                          const admission_request& admitted, steady_time deadline)
+{
+    const Executor executor = this->gate.enter(admitted);
+    const steady_time begin = read_steady_clock();
+    const bool is_idempotent = request.forwarded.is_idempotent;
+    executor_connection connection =
+        this->pool.take(executor.address(), is_idempotent ? usual_freshness : strict_freshness, begin);
+    const milliseconds patience =
+        is_idempotent ? milliseconds(this->settings.suspect_after_ms()) : elapsed_ms(begin, deadline);
+    attempt_result result{exchange(connection, request.forwarded, patience, deadline), executor.id()};
+    const steady_time end = read_steady_clock();
+    const double duration_ms = std::chrono::duration<double, std::milli>(end - begin).count();
+    this->gate.leave(admitted, executor.id(), result.answer.outcome, duration_ms);
+    process_metrics().observe_ms("wigeon_exchange_ms", duration_ms);
+    const bool is_whole = result.answer.status != 0;
+    if (is_whole)
+        this->pool.give_back(std::move(connection), end);
+    else if (result.answer.is_timeout && !connection.is_new)
+        // Others of this age may have been lost by the same cause; the next requests take new ones.
+        this->pool.retire(executor.address(), begin);
+    return result;
+}
+
+bool request_service::may_retry(const caller_request& request, const executor_answer& answer, steady_time deadline)
+{
+    const bool is_proved_unrun = answer.ran == execution::did_not_run;
+    const bool is_whole = answer.status != 0 && !is_proved_unrun;
+    if (is_whole || (!is_proved_unrun && !request.forwarded.is_idempotent))
+        return false;
+    if (read_steady_clock() + longest_backoff >= deadline)
+        return false;
+    const std::lock_guard lock(this->budget_mutex);
+    if (this->budget.try_take())
+        return true;
+    count_refusal("retry_budget");
+    return false;
+}
+
+executor_answer request_service::run(const caller_request& request, steady_time deadline)
+{
+    admission_request admitted = this->make_admission(request, deadline);
+    for (int attempt = 1;; ++attempt) {
+        attempt_result result = this->try_once(request, admitted, deadline);
+        const bool is_last = attempt == attempt_limit || !this->may_retry(request, result.answer, deadline);
+        const bool is_whole = result.answer.status != 0 && result.answer.ran == execution::ran;
+        if (is_whole)
+            return std::move(result.answer);
+        if (is_last)
+            fail(result.answer, deadline);
+        count_retry(name_outcome(result.answer));
+        admitted.excluded.insert(result.executor);
+        std::this_thread::sleep_for(draw_backoff());
+    }
+}
+
+void request_service::fail(const executor_answer& answer, steady_time deadline)
+{
+    switch (answer.outcome) {
+    case exchange_outcome::refused:
+        throw error(error_kind::executor_refused, "the last executor tried refused the request");
+    case exchange_outcome::unreachable:
+        throw error(error_kind::executor_unreachable, "the last executor tried took no connection");
+    default:
+        break;
+    }
+    if (answer.is_timeout && read_steady_clock() + longest_backoff >= deadline)
+        throw error(error_kind::deadline_after_send, "no whole answer within the time limit");
+    throw error(error_kind::answer_broken, "the exchange with the executor broke off");
+}
+
+} // namespace wigeon
--- /dev/null
+++ b/libraries/entry/request_service.h
@@ -0,0 +1,65 @@
+// A caller's request from its arrival to its answer: admission, idempotency key, executor, retries.
+
+#pragma once
+
+#include <atomic>
+#include <cstdint>
+#include <functional>
+#include <mutex>
+#include <string>
+
+#include "replica/replica.h"
+#include "routing/admission.h"
+#include "routing/connection_pool.h"
+#include "routing/executor_exchange.h"
+#include "routing/retry_budget.h"
+#include "wigeon.pb.h"
+
+namespace wigeon {
+
+struct caller_request {
+    std::string account;
+    std::string job_class;
+    std::string key;                          // Empty: none.
+    std::uint64_t first_sent_ms = 0;          // When the caller first sent the key; 0: not told.
+    milliseconds time_limit{0};
+    executor_request forwarded;
+};
+
+class request_service {
+public:
+    // `is_alive` tells whether the process of that incarnation is known to live.
+    request_service(const EntrySettings& settings, replica& state, admission& gate, connection_pool& pool,
+                    std::function<bool(std::uint64_t)> is_alive);
+
+    // Returns the executor's whole answer or throws an error of the closed list.
+    executor_answer serve(const caller_request& request);
+
+    [[nodiscard]] std::uint32_t in_flight() const { return this->active; }
+
+private:
+    struct attempt_result {
+        executor_answer answer;
+        std::string executor;
+    };
+
+    admission_request make_admission(const caller_request& request, steady_time deadline) const;
+    void take_key(const caller_request& request, steady_time deadline);
+    void note_key(const caller_request& request, KeyOutcome outcome, int status);
+    [[noreturn]] void refuse_key(const caller_request& request) const;
+    executor_answer run(const caller_request& request, steady_time deadline);
+    attempt_result try_once(const caller_request& request, const admission_request& admitted, steady_time deadline);
+    bool may_retry(const caller_request& request, const executor_answer& answer, steady_time deadline);
+    [[noreturn]] static void fail(const executor_answer& answer, steady_time deadline);
+
+    const EntrySettings settings;
+    replica& state;
+    admission& gate;
+    connection_pool& pool;
+    std::function<bool(std::uint64_t)> is_alive;
+    std::mutex budget_mutex;
+    retry_budget budget;                    // Guarded by budget_mutex.
+    std::atomic<std::uint32_t> active = 0;
+};
+
+} // namespace wigeon
--- /dev/null
+++ b/libraries/placement/guarantee_binding.cpp
@@ -0,0 +1,186 @@
+// First fit decreasing over racks or zones, best fit within them.
+
+#include "placement/guarantee_binding.h"
+
+#include <algorithm>
+#include <limits>
+#include <optional>
+#include <unordered_map>
+
+namespace wigeon {
+
+namespace {
+
+struct block_room {
+    const Worker* worker = nullptr;
+    std::uint32_t unbound = 0;      // Accelerators in no account's cell.
+};
+
+// The unbound accelerators of the usable workers, grouped by rack and by zone.
+class unbound_fleet {
+public:
+    unbound_fleet(const Configuration& configuration, const worker_filter& is_usable)
+    {
+        this->rooms.reserve(static_cast<std::size_t>(configuration.workers_size()));
+        for (const Worker& worker : configuration.workers()) {
+            if (!is_usable(worker))
+                continue;
+            const std::size_t index = this->rooms.size();
+            this->rooms.push_back({&worker, worker.accelerators()});
+            this->index_of.emplace(worker.id(), index);
+            this->racks[worker.zone() + "/" + worker.rack()].push_back(index);
+            this->zones[worker.zone()].push_back(index);
+        }
+    }
+
+    // Takes the cell's blocks when all of them are still there.
+    bool take(const BoundCell& cell, const GuaranteedShape& shape)
+    {
+        if (cell.blocks_size() != static_cast<int>(shape.workers()) || !this->is_adjacent(cell, shape.adjacency()))
+            return false;
+        for (const TaskPlacement& block : cell.blocks()) {
+            const auto found = this->index_of.find(block.worker());
+            const bool is_whole = block.accelerators() == shape.accelerators();
+            if (found == this->index_of.end() || !is_whole || this->rooms[found->second].unbound < shape.accelerators())
+                return false;
+        }
+        for (const TaskPlacement& block : cell.blocks())
+            this->rooms[this->index_of.find(block.worker())->second].unbound -= shape.accelerators();
+        return true;
+    }
+
+    std::optional<BoundCell> find_cell(std::uint32_t shape_index, const GuaranteedShape& shape)
+    {
+        std::vector<std::size_t> best;
+        std::uint64_t least_left = std::numeric_limits<std::uint64_t>::max();
+        const auto consider = [&](const std::vector<std::size_t>& group) {
+            std::vector<std::size_t> fitting;
+            std::uint64_t left = 0;
+            for (const std::size_t index : group) {
+                left += this->rooms[index].unbound;
+                if (this->rooms[index].unbound >= shape.accelerators())
+                    fitting.push_back(index);
+            }
+            if (fitting.size() < shape.workers() || left >= least_left)
+                return;
+            std::stable_sort(fitting.begin(), fitting.end(), [this](std::size_t a, std::size_t b) {
+                return this->rooms[a].unbound < this->rooms[b].unbound;
+            });
+            fitting.resize(shape.workers());
+            best = std::move(fitting);
+            least_left = left;
+        };
+        if (shape.adjacency() == ADJACENCY_ANY) {
+            std::vector<std::size_t> all(this->rooms.size());
+            for (std::size_t i = 0; i < all.size(); ++i)
+                all[i] = i;
+            consider(all);
+        }
+        else {
+            for (const auto& [name, group] : shape.adjacency() == ADJACENCY_RACK ? this->racks : this->zones)
+                consider(group);
+        }
+        if (best.size() != shape.workers())
+            return std::nullopt;
+        BoundCell cell;
+        cell.set_shape(shape_index);
+        for (const std::size_t index : best) {
+            this->rooms[index].unbound -= shape.accelerators();
+            TaskPlacement* block = cell.add_blocks();
+            block->set_worker(this->rooms[index].worker->id());
+            block->set_accelerators(shape.accelerators());
+        }
+        return cell;
+    }
+
+private:
+    [[nodiscard]] bool is_adjacent(const BoundCell& cell, Adjacency adjacency) const
+    {
+        if (adjacency == ADJACENCY_ANY)
+            return true;
+        const Worker* first = nullptr;
+        for (const TaskPlacement& block : cell.blocks()) {
+            const auto found = this->index_of.find(block.worker());
+            if (found == this->index_of.end())
+                return false;
+            const Worker* worker = this->rooms[found->second].worker;
+            if (first == nullptr)
+                first = worker;
+            if (worker->zone() != first->zone())
+                return false;
+            if (adjacency == ADJACENCY_RACK && worker->rack() != first->rack())
+                return false;
+        }
+        return true;
+    }
+
+    std::vector<block_room> rooms;
+    std::unordered_map<std::string, std::size_t> index_of;
+    std::map<std::string, std::vector<std::size_t>> racks;
+    std::map<std::string, std::vector<std::size_t>> zones;
+};
+
+struct missing_cell {
+    std::string account;
+    std::uint32_t shape_index = 0;
+    const GuaranteedShape* shape = nullptr;
+};
+
+std::uint64_t count_accelerators(const GuaranteedShape& shape)
+{
+    return std::uint64_t{shape.workers()} * shape.accelerators();
+}
+
+} // namespace
+
+binding_table bind_guarantees(const Configuration& configuration, const binding_table& existing,
+                              const worker_filter& is_usable)
+{
+    unbound_fleet fleet(configuration, is_usable);
+    binding_table bound;
+    std::vector<missing_cell> missing;
+    for (const Account& account : configuration.accounts()) {
+        BindingState& binding = bound[account.name()];
+        binding.set_account(account.name());
+        const auto old = existing.find(account.name());
+        for (int i = 0; i < account.guarantees_size(); ++i) {
+            const GuaranteedShape& shape = account.guarantees(i);
+            std::uint32_t kept = 0;
+            if (old != existing.end()) {
+                for (const BoundCell& cell : old->second.cells()) {
+                    if (kept == shape.cells())
+                        break;
+                    if (cell.shape() == static_cast<std::uint32_t>(i) && fleet.take(cell, shape)) {
+                        *binding.add_cells() = cell;
+                        ++kept;
+                    }
+                }
+            }
+            for (; kept < shape.cells(); ++kept)
+                missing.push_back({account.name(), static_cast<std::uint32_t>(i), &shape});
+        }
+    }
+    std::stable_sort(missing.begin(), missing.end(), [](const missing_cell& a, const missing_cell& b) {
+        return count_accelerators(*a.shape) > count_accelerators(*b.shape);
+    });
+    for (const missing_cell& wanted : missing) {
+        BindingState& binding = bound[wanted.account];
+        if (auto cell = fleet.find_cell(wanted.shape_index, *wanted.shape))
+            *binding.add_cells() = std::move(*cell);
+        else
+            binding.set_unmet_cells(binding.unmet_cells() + 1);
+    }
+    // One order, so that binding again without a change gives the same bytes.
+    for (auto& [account, binding] : bound) {
+        std::stable_sort(binding.mutable_cells()->begin(), binding.mutable_cells()->end(),
+                         [](const BoundCell& a, const BoundCell& b) { return a.shape() < b.shape(); });
+    }
+    return bound;
+}
+
+bool is_same_binding(const BindingState& left, const BindingState& right)
+{
+    return left.SerializeAsString() == right.SerializeAsString();
+}
+
+} // namespace wigeon
--- /dev/null
+++ b/libraries/placement/placement_policy.cpp
@@ -0,0 +1,164 @@
+// First fit, best fit, and nested cells.
+
+#include "placement/placement_policy.h"
+
+#include <algorithm>
+#include <limits>
+#include <numeric>
+
+#include "base/error_kind.h"
+
+namespace wigeon {
+
+fleet_layout make_layout(const Configuration& configuration)
+{
+    fleet_layout layout;
+    for (const Worker& worker : configuration.workers())
+        layout.places.push_back({&worker, 0, 0});
+    std::stable_sort(layout.places.begin(), layout.places.end(), [](const worker_place& a, const worker_place& b) {
+        return std::tie(a.worker->zone(), a.worker->rack(), a.worker->id()) <
+               std::tie(b.worker->zone(), b.worker->rack(), b.worker->id());
+    });
+    for (std::size_t i = 0; i < layout.places.size(); ++i) {
+        const Worker* previous = i == 0 ? nullptr : layout.places[i - 1].worker;
+        const Worker* worker = layout.places[i].worker;
+        const bool is_new_zone = previous == nullptr || previous->zone() != worker->zone();
+        if (is_new_zone)
+            layout.zones.push_back({i, i});
+        if (is_new_zone || previous->rack() != worker->rack())
+            layout.racks.push_back({i, i});
+        layout.zones.back().end = i + 1;
+        layout.racks.back().end = i + 1;
+        layout.places[i].zone = static_cast<std::uint32_t>(layout.zones.size() - 1);
+        layout.places[i].rack = static_cast<std::uint32_t>(layout.racks.size() - 1);
+    }
+    return layout;
+}
+
+namespace {
+
+using availability = std::span<const std::uint32_t>;
+
+std::uint64_t count_tasks(const index_range& group, availability available, const gang_shape& gang)
+{
+    std::uint64_t tasks = 0;
+    for (std::size_t i = group.begin; i < group.end; ++i) {
+        if (gang.needed[i] > 0)
+            tasks += available[i] / gang.needed[i];
+    }
+    return tasks;
+}
+
+std::uint64_t count_available(const index_range& group, availability available)
+{
+    return std::accumulate(available.begin() + static_cast<std::ptrdiff_t>(group.begin),
+                           available.begin() + static_cast<std::ptrdiff_t>(group.end), std::uint64_t{0});
+}
+
+std::vector<index_range> list_groups(const fleet_layout& layout, Adjacency adjacency)
+{
+    if (adjacency == ADJACENCY_RACK)
+        return layout.racks;
+    if (adjacency == ADJACENCY_ZONE)
+        return layout.zones;
+    return {{0, layout.places.size()}};
+}
+
+std::vector<task_choice> fill(std::span<const std::size_t> workers, availability available, const gang_shape& gang)
+{
+    std::vector<task_choice> choices;
+    for (const std::size_t worker : workers) {
+        if (gang.needed[worker] == 0)
+            continue;
+        for (std::uint32_t room = available[worker];
+             room >= gang.needed[worker] && choices.size() < gang.tasks; room -= gang.needed[worker])
+            choices.push_back({worker, gang.needed[worker]});
+    }
+    return choices;
+}
+
+std::vector<std::size_t> list_workers(const index_range& group)
+{
+    std::vector<std::size_t> workers(group.end - group.begin);
+    std::iota(workers.begin(), workers.end(), group.begin);
+    return workers;
+}
+
+class first_fit : public placement_policy {
+public:
+    [[nodiscard]] std::optional<std::vector<task_choice>> choose(const fleet_layout& layout, availability available,
+                                                                 const gang_shape& gang) const override
+    {
+        for (const index_range& group : list_groups(layout, gang.adjacency)) {
+            if (count_tasks(group, available, gang) >= gang.tasks)
+                return fill(list_workers(group), available, gang);
+        }
+        return std::nullopt;
+    }
+};
+
+// The group with the least left over, and in it the workers with the least room first, so that small gangs
+// go where the fleet is broken up already.
+std::optional<std::vector<task_choice>> choose_tightest(const std::vector<index_range>& groups, availability available,
+                                                        const gang_shape& gang)
+{
+    const index_range* best = nullptr;
+    std::uint64_t least = std::numeric_limits<std::uint64_t>::max();
+    for (const index_range& group : groups) {
+        const std::uint64_t room = count_available(group, available);
+        if (room < least && count_tasks(group, available, gang) >= gang.tasks) {
+            best = &group;
+            least = room;
+        }
+    }
+    if (best == nullptr)
+        return std::nullopt;
+    std::vector<std::size_t> workers = list_workers(*best);
+    std::stable_sort(workers.begin(), workers.end(),
+                     [available](std::size_t a, std::size_t b) { return available[a] < available[b]; });
+    return fill(workers, available, gang);
+}
+
+class best_fit : public placement_policy {
+public:
+    [[nodiscard]] std::optional<std::vector<task_choice>> choose(const fleet_layout& layout, availability available,
+                                                                 const gang_shape& gang) const override
+    {
+        return choose_tightest(list_groups(layout, gang.adjacency), available, gang);
+    }
+};
+
+// Best fit from the smallest cell level upwards: a gang crosses a rack or a zone only when no
+// single one can hold it, whatever its adjacency would allow.
+class nested_cells : public placement_policy {
+public:
+    [[nodiscard]] std::optional<std::vector<task_choice>> choose(const fleet_layout& layout, availability available,
+                                                                 const gang_shape& gang) const override
+    {
+        if (auto chosen = choose_tightest(layout.racks, available, gang))
+            return chosen;
+        if (gang.adjacency == ADJACENCY_RACK)
+            return std::nullopt;
+        if (auto chosen = choose_tightest(layout.zones, available, gang))
+            return chosen;
+        if (gang.adjacency == ADJACENCY_ZONE)
+            return std::nullopt;
+        return choose_tightest({{0, layout.places.size()}}, available, gang);
+    }
+};
+
+} // namespace
+
+std::unique_ptr<placement_policy> make_placement_policy(std::string_view name)
+{
+    if (name == "first_fit")
+        return std::make_unique<first_fit>();
+    if (name == "best_fit")
+        return std::make_unique<best_fit>();
+    if (name == "nested_cells")
+        return std::make_unique<nested_cells>();
+    throw error(error_kind::malformed_request, "placement_policy: '" + std::string(name) +
+                                                   "' is not one of first_fit, best_fit, nested_cells");
+}
+
+} // namespace wigeon
--- /dev/null
+++ b/libraries/placement/placement_policy.h
@@ -0,0 +1,61 @@
+// Chooses workers for the tasks of one gang, given what is available on each worker.
+
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <span>
+#include <string_view>
+#include <vector>
+
+#include "wigeon.pb.h"
+
+namespace wigeon {
+
+// The place of a worker in the fleet. Workers are ordered by zone and rack, so that each rack and each
+// zone is one range of indices.
+struct worker_place {
+    const Worker* worker = nullptr;
+    std::uint32_t zone = 0;
+    std::uint32_t rack = 0;     // Unique over all zones.
+};
+
+struct index_range {
+    std::size_t begin = 0;
+    std::size_t end = 0;
+};
+
+struct fleet_layout {
+    std::vector<worker_place> places;
+    std::vector<index_range> racks;
+    std::vector<index_range> zones;
+};
+
+fleet_layout make_layout(const Configuration& configuration);
+
+struct gang_shape {
+    std::uint32_t tasks = 0;
+    Adjacency adjacency = ADJACENCY_ANY;
+    std::span<const std::uint32_t> needed;    // Accelerators per task on each worker; 0 where it cannot run.
+};
+
+struct task_choice {
+    std::size_t worker = 0;                   // Index into the layout.
+    std::uint32_t accelerators = 0;
+};
+
+class placement_policy {
+public:
+    virtual ~placement_policy() = default;
+
+    // One choice per task, or nothing when the gang does not fit whole. `available` gives accelerators per worker.
+    [[nodiscard]] virtual std::optional<std::vector<task_choice>> choose(const fleet_layout& layout,
+                                                                         std::span<const std::uint32_t> available,
+                                                                         const gang_shape& gang) const = 0;
+};
+
+// "first_fit", "best_fit" or "nested_cells". Throws error(malformed_request) for another name.
+std::unique_ptr<placement_policy> make_placement_policy(std::string_view name);
+
+} // namespace wigeon
--- /dev/null
+++ b/libraries/replica/replica.cpp
@@ -0,0 +1,350 @@
+// Tailing, applying and appending.
+
+#include "replica/replica.h"
+
+#include "base/logging.h"
+#include "base/metrics.h"
+#include "base/network.h"
+
+namespace wigeon {
+
+namespace {
+
+constexpr milliseconds tail_wait{1000};
+constexpr milliseconds pause_after_failure{100};
+constexpr milliseconds ring_wait{200};
+constexpr std::size_t batch_limit = 256;
+
+void fail(std::promise<apply_result>& outcome, error_kind kind, const std::string& detail)
+{
+    outcome.set_exception(std::make_exception_ptr(error(kind, detail)));
+}
+
+} // namespace
+
+replica::replica(replica_options options) : options(std::move(options)), author(draw_incarnation()) {}
+
+replica::~replica()
+{
+    this->stop();
+}
+
+void replica::start(std::function<StateAnswer(std::uint64_t)> peer_state)
+{
+    this->ask_peers = std::move(peer_state);
+    this->tail = std::thread([this] { this->run_tail(); });
+    this->appender = std::thread([this] { this->run_appender(); });
+}
+
+void replica::stop()
+{
+    this->stopping = true;
+    this->appends.close();
+    if (this->tail.joinable())
+        this->tail.join();
+    if (this->appender.joinable())
+        this->appender.join();
+    const std::lock_guard lock(this->unread_mutex);
+    for (const auto& [sequence, pending] : this->unread)
+        fail(pending->outcome, error_kind::log_uncertain, "the process stopped before the record was read back");
+    this->unread.clear();
+}
+
+steady_time replica::last_log_answer() const
+{
+    const std::lock_guard lock(this->change_mutex);
+    return this->log_answer;
+}
+
+apply_result replica::submit(Record record, steady_time deadline)
+{
+    return this->submit_later(std::move(record), deadline).get();
+}
+
+std::future<apply_result> replica::submit_later(Record record, steady_time deadline)
+{
+    auto pending = std::make_shared<pending_append>();
+    pending->record = std::move(record);
+    pending->deadline = deadline;
+    std::future<apply_result> outcome = pending->outcome.get_future();
+    if (!this->appends.try_push(pending)) {
+        count_refusal("append_ring_full");
+        fail(pending->outcome, error_kind::log_unavailable, "the ring of appends is full");
+    }
+    return outcome;
+}
+
+std::uint64_t replica::wait_for_change(std::uint64_t seen, milliseconds limit) const
+{
+    std::unique_lock lock(this->change_mutex);
+    this->changed.wait_for(lock, limit, [this, seen] { return this->changes != seen; });
+    return this->changes;
+}
+
+void replica::note_change()
+{
+    {
+        const std::lock_guard lock(this->change_mutex);
+        ++this->changes;
+    }
+    this->changed.notify_all();
+}
+
+bool replica::install(const SystemState& newer, std::string_view source)
+{
+    {
+        const std::unique_lock lock(this->state_mutex);
+        const bool would_revert = newer.configuration().version() < this->state.configuration().version();
+        if (newer.next_offset() <= this->state.next_offset() || would_revert)
+            return false;
+        this->state = replicated_state(newer);
+    }
+    process_metrics().count("wigeon_states_installed_total{source=\"" + std::string(source) + "\"}");
+    log_change("state_installed", {{"source", std::string(source)},
+                                   {"next_offset", std::to_string(newer.next_offset())},
+                                   {"configuration_version", std::to_string(newer.configuration().version())}});
+    this->note_change();
+    return true;
+}
+
+void replica::append_snapshot()
+{
+    const SystemState snapshot = this->read([](const replicated_state& current) { return current.make_snapshot(); });
+    const std::string serialized = snapshot.SerializeAsString();
+    const auto log = make_http_log_service(this->options.log_address, this->options.log_timeout);
+    log->append(snapshot_stream, std::span(&serialized, 1));
+    process_metrics().count("wigeon_snapshots_written_total");
+    process_metrics().set_gauge("wigeon_snapshot_bytes", static_cast<double>(serialized.size()));
+}
+
+// Brings the state to a point from which the log still has every record. Returns false when neither the
+// stream of snapshots nor a peer has such a state.
+bool replica::restore(log_service& log)
+{
+    const std::uint64_t own = this->read([](const replicated_state& current) { return current.next_offset(); });
+    const LogPage bounds = log.read(main_stream, log_service::end_of_stream, milliseconds(0));
+    const LogPage snapshots = log.read(snapshot_stream, log_service::end_of_stream, milliseconds(0));
+    if (snapshots.end_offset() > snapshots.earliest_offset()) {
+        const LogPage last = log.read(snapshot_stream, snapshots.end_offset() - 1, milliseconds(0));
+        SystemState snapshot;
+        if (last.records_size() > 0 && snapshot.ParseFromString(last.records(last.records_size() - 1)))
+            this->install(snapshot, "snapshot");
+    }
+    const auto reaches = [&] {
+        const std::uint64_t next = this->read([](const replicated_state& s) { return s.next_offset(); });
+        return next >= bounds.earliest_offset();
+    };
+    if (!reaches()) {
+        const StateAnswer answer = this->ask_peers(own);
+        if (answer.has_state())
+            this->install(answer.state(), "peer");
+    }
+    if (reaches()) {
+        this->ready_offset = bounds.end_offset();
+        return true;
+    }
+    count_refusal("state_gap");
+    log_change("state_gap", {{"next_offset", std::to_string(own)},
+                             {"earliest_offset", std::to_string(bounds.earliest_offset())}});
+    return false;
+}
+
+void replica::run_tail()
+{
+    const auto log = make_http_log_service(this->options.log_address, this->options.log_timeout);
+    bool is_restored = false;
+    bool is_reachable = true;
+    while (!this->stopping) {
+        try {
+            if (!is_restored) {
+                is_restored = this->restore(*log);
+                if (!is_restored) {
+                    std::this_thread::sleep_for(milliseconds(1000));
+                    continue;
+                }
+            }
+            const std::uint64_t next = this->read([](const replicated_state& s) { return s.next_offset(); });
+            const LogPage page = log->read(main_stream, next, tail_wait);
+            {
+                const std::lock_guard lock(this->change_mutex);
+                this->log_answer = read_steady_clock();
+            }
+            if (!is_reachable)
+                log_change("log_reachable", {});
+            is_reachable = true;
+            if (page.earliest_offset() > next)
+                is_restored = false;
+            else if (page.records_size() > 0)
+                this->apply_page(page);
+            if (this->read([](const replicated_state& s) { return s.next_offset(); }) >= this->ready_offset)
+                this->ready = true;
+        }
+        catch (const log_call_error& failure) {
+            count_retry("log_read");
+            if (is_reachable)
+                log_change("log_unreachable", {{"detail", failure.what()}});
+            is_reachable = false;
+            // Without the log, a process that starts takes its first state from a peer. A later one
+            // comes through the gossip, which knows whether a peer is ahead.
+            if (!this->ready) {
+                const StateAnswer answer = this->ask_peers(0);
+                if (answer.has_state() && this->install(answer.state(), "peer"))
+                    this->ready = true;
+            }
+            std::this_thread::sleep_for(pause_after_failure);
+        }
+        this->expire_unread();
+    }
+}
+
+void replica::apply_page(const LogPage& page)
+{
+    std::vector<apply_result> own_results;
+    {
+        const std::unique_lock lock(this->state_mutex);
+        std::uint64_t offset = page.first_offset();
+        for (const std::string& record : page.records()) {
+            // A state installed from a peer meanwhile may already cover the head of this page.
+            if (offset >= this->state.next_offset()) {
+                apply_result result = this->state.apply(offset, record);
+                if (result.author == this->author)
+                    own_results.push_back(std::move(result));
+            }
+            ++offset;
+        }
+    }
+    process_metrics().count("wigeon_records_applied_total", static_cast<std::uint64_t>(page.records_size()));
+    for (const apply_result& result : own_results)
+        this->resolve(result);
+    this->note_change();
+}
+
+void replica::resolve(const apply_result& result)
+{
+    if (result.outcome == apply_outcome::duplicate)
+        return;
+    pending_pointer pending;
+    {
+        const std::lock_guard lock(this->unread_mutex);
+        const auto found = this->unread.find(result.sequence);
+        if (found == this->unread.end())
+            return;
+        pending = found->second;
+        this->unread.erase(found);
+    }
+    const bool has_no_effect = result.outcome == apply_outcome::voided || result.outcome == apply_outcome::stale;
+    if (has_no_effect)
+        fail(pending->outcome, error_kind::log_unavailable, "the log took the record too late");
+    else
+        pending->outcome.set_value(result);
+}
+
+// Answers those whose deadline passed while their record is neither read back nor voided.
+void replica::expire_unread()
+{
+    const steady_time now = read_steady_clock();
+    const std::lock_guard lock(this->unread_mutex);
+    for (auto entry = this->unread.begin(); entry != this->unread.end();) {
+        // The appending thread has until then to settle the record by a void.
+        if (now < entry->second->deadline + this->options.log_timeout) {
+            ++entry;
+            continue;
+        }
+        fail(entry->second->outcome, error_kind::log_uncertain, "the record was not read back in time");
+        entry = this->unread.erase(entry);
+    }
+}
+
+std::vector<replica::pending_pointer> replica::gather()
+{
+    std::vector<pending_pointer> batch;
+    auto first = this->appends.pop(ring_wait);
+    if (!first)
+        return batch;
+    batch.push_back(std::move(*first));
+    const steady_time end = read_steady_clock() + this->options.append_window;
+    while (batch.size() < batch_limit) {
+        const steady_time now = read_steady_clock();
+        auto next = this->appends.pop(now < end ? elapsed_ms(now, end) : milliseconds(0));
+        if (!next)
+            break;
+        batch.push_back(std::move(*next));
+    }
+    return batch;
+}
+
+// Records that never left this process are dropped at their deadline; those that may be in the log are
+// replaced by a void of the same sequence, so that the log decides which of the two takes effect.
+void replica::drop_expired(std::vector<pending_pointer>& batch)
+{
+    const steady_time now = read_steady_clock();
+    std::erase_if(batch, [&](const pending_pointer& pending) {
+        if (now < pending->deadline)
+            return false;
+        if (pending->is_sent) {
+            if (!pending->is_void) {
+                pending->record.mutable_void_record();
+                pending->is_void = true;
+                count_retry("append_void");
+            }
+            return false;
+        }
+        bool is_waiting = true;
+        if (pending->record.sequence() != 0) {
+            const std::lock_guard lock(this->unread_mutex);
+            is_waiting = this->unread.erase(pending->record.sequence()) > 0;
+        }
+        if (is_waiting)
+            fail(pending->outcome, error_kind::log_unavailable, "the log took no append in time");
+        return true;
+    });
+}
+
+bool replica::append_batch(log_service& log, std::vector<pending_pointer>& batch)
+{
+    std::vector<std::string> records;
+    records.reserve(batch.size());
+    for (const pending_pointer& pending : batch)
+        records.push_back(pending->record.SerializeAsString());
+    const steady_time begin = read_steady_clock();
+    try {
+        log.append(main_stream, records);
+        process_metrics().count("wigeon_appends_total");
+        process_metrics().observe_ms("wigeon_append_ms",
+                                     static_cast<double>(elapsed_ms(begin, read_steady_clock()).count()));
+        return true;
+    }
+    catch (const log_call_error& failure) {
+        for (const pending_pointer& pending : batch)
+            pending->is_sent = pending->is_sent || !failure.is_unsent();
+        count_retry(failure.is_unsent() ? "log_append_unsent" : "log_append_uncertain");
+        return false;
+    }
+}
+
+void replica::run_appender()
+{
+    const auto log = make_http_log_service(this->options.log_address, this->options.log_timeout);
+    while (!this->stopping || !this->appends.is_closed()) {
+        std::vector<pending_pointer> batch = this->gather();
+        if (batch.empty() && this->appends.is_closed())
+            return;
+        this->drop_expired(batch);
+        for (const pending_pointer& pending : batch) {
+            pending->record.set_author(this->author);
+            pending->record.set_sequence(++this->last_sequence);
+            pending->record.set_time_ms(read_wall_clock_ms());
+            const std::lock_guard lock(this->unread_mutex);
+            this->unread.emplace(pending->record.sequence(), pending);
+        }
+        // Later records wait until this batch is settled, so that the sequences reach the log in order.
+        while (!batch.empty() && !this->append_batch(*log, batch)) {
+            if (this->stopping)
+                return;
+            std::this_thread::sleep_for(pause_after_failure);
+            this->drop_expired(batch);
+        }
+    }
+}
+
+} // namespace wigeon
--- /dev/null
+++ b/libraries/replica/replica.h
@@ -0,0 +1,125 @@
+// This process's copy of the replicated state: one thread tails the log and applies it, one appends records.
+// Both survive an outage of the log; a copy that fell behind the log's retention is restored from a snapshot.
+
+#pragma once
+
+#include <atomic>
+#include <deque>
+#include <functional>
+#include <future>
+#include <map>
+#include <memory>
+#include <shared_mutex>
+#include <string>
+#include <thread>
+
+#include "base/bounded_ring.h"
+#include "base/time.h"
+#include "platform/log_service.h"
+#include "state/replicated_state.h"
+#include "wigeon.pb.h"
+
+namespace wigeon {
+
+struct replica_options {
+    std::string log_address;
+    milliseconds log_timeout{1500};
+    milliseconds append_window{5};
+};
+
+class replica {
+public:
+    static constexpr std::string_view main_stream = "wigeon";
+    static constexpr std::string_view snapshot_stream = "wigeon-snapshots";
+
+    explicit replica(replica_options options);
+    ~replica();
+
+    replica(const replica&) = delete;
+    replica& operator=(const replica&) = delete;
+
+    [[nodiscard]] std::uint64_t incarnation() const { return this->author; }
+
+    // `peer_state` returns a peer's state that is newer than the given offset, or an empty answer.
+    void start(std::function<StateAnswer(std::uint64_t)> peer_state);
+    void stop();
+
+    // True once the state covers all that the log held when this process first read it, or, in an outage of the
+    // log, all that the peers knew.
+    [[nodiscard]] bool is_ready() const { return this->ready; }
+
+    // When the newest answer of the log service arrived.
+    [[nodiscard]] steady_time last_log_answer() const;
+
+    // Appends the record and waits until it was read back. Author, sequence and time are filled in.
+    // Throws error(log_unavailable) when the record certainly has no effect and never will, and
+    // error(log_uncertain) when its outcome is not known at the deadline.
+    apply_result submit(Record record, steady_time deadline);
+
+    // The same without waiting. The future's error is as with submit().
+    std::future<apply_result> submit_later(Record record, steady_time deadline);
+
+    // Runs `reader` on the state while no record is applied.
+    template <typename Reader>
+    auto read(Reader&& reader) const
+    {
+        const std::shared_lock lock(this->state_mutex);
+        return reader(this->state);
+    }
+
+    // Waits until a record was applied after `seen` changes, or until the limit. Returns the number of changes.
+    std::uint64_t wait_for_change(std::uint64_t seen, milliseconds limit) const;
+
+    // Takes the state over when it is newer than this process's own; an older one never replaces a newer.
+    bool install(const SystemState& newer, std::string_view source);
+
+    // Appends a snapshot of the state to the stream of snapshots. Throws log_call_error.
+    void append_snapshot();
+
+private:
+    struct pending_append {
+        Record record;
+        steady_time deadline;
+        std::promise<apply_result> outcome;
+        bool is_sent = false;      // An attempt left this process, so that the record may be in the log.
+        bool is_void = false;      // The record was replaced by a void one of the same sequence.
+    };
+    using pending_pointer = std::shared_ptr<pending_append>;
+
+    void run_tail();
+    bool restore(log_service& log);
+    void apply_page(const LogPage& page);
+    void resolve(const apply_result& result);
+    void run_appender();
+    std::vector<pending_pointer> gather();
+    bool append_batch(log_service& log, std::vector<pending_pointer>& batch);
+    void drop_expired(std::vector<pending_pointer>& batch);
+    void expire_unread();
+    void note_change();
+
+    const replica_options options;
+    const std::uint64_t author;
+    std::function<StateAnswer(std::uint64_t)> ask_peers;
+
+    mutable std::shared_mutex state_mutex;
+    replicated_state state;                                    // Guarded by state_mutex.
+
+    mutable std::mutex change_mutex;
+    mutable std::condition_variable changed;
+    std::uint64_t changes = 0;                                 // Guarded by change_mutex.
+    steady_time log_answer{};                                  // Guarded by change_mutex.
+
+    static constexpr std::size_t ring_capacity = 4096;
+    bounded_ring<pending_pointer> appends{ring_capacity};
+    std::mutex unread_mutex;
+    std::map<std::uint64_t, pending_pointer> unread;           // By sequence: appended, but not read back yet.
+    std::uint64_t ready_offset = 0;                            // Owned by the tailing thread.
+    std::uint64_t last_sequence = 0;                           // Owned by the appending thread.
+
+    std::atomic<bool> ready = false;
+    std::atomic<bool> stopping = false;
+    std::thread tail;
+    std::thread appender;
+};
+
+} // namespace wigeon
--- /dev/null
+++ b/libraries/routing/admission.h
@@ -0,0 +1,66 @@
+// Where a caller's thread waits for its turn and for an executor. Joins the fair queue and the table of executors
+// under one lock.
+
+#pragma once
+
+#include <condition_variable>
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <set>
+#include <string>
+
+#include "routing/executor_table.h"
+#include "routing/fair_queue.h"
+
+namespace wigeon {
+
+struct admission_request {
+    std::string account;
+    std::string job_class;
+    queue_weights weights;
+    std::set<std::string> excluded;      // Executors that refused this request before.
+    steady_time deadline{};
+};
+
+class admission {
+public:
+    admission(std::size_t queue_limit, executor_table table) : queue(queue_limit), table(std::move(table)) {}
+
+    // Waits for a slot of an executor. Throws error(queue_full), error(deadline_in_queue) or error(no_executor).
+    Executor enter(const admission_request& request);
+
+    // Gives the slot back, with the time that the executor worked.
+    void leave(const admission_request& request, const std::string& executor, exchange_outcome outcome,
+               double duration_ms);
+
+    // Runs `change` on the table, then lets waiting requests go on.
+    template <typename Change>
+    void update_table(Change&& change)
+    {
+        const std::lock_guard lock(this->mutex);
+        change(this->table);
+        this->dispatch(read_steady_clock());
+    }
+
+    // Requests waiting and in flight.
+    [[nodiscard]] std::uint32_t demand() const;
+
+private:
+    struct waiter {
+        const admission_request* request = nullptr;
+        std::condition_variable granted;
+        bool is_decided = false;
+        std::optional<Executor> executor;
+    };
+
+    void dispatch(steady_time now);
+
+    mutable std::mutex mutex;
+    fair_queue queue;                                // Guarded by mutex, as all below.
+    executor_table table;
+    std::map<std::uint64_t, waiter*> waiters;        // By ticket id, for the queued tickets.
+    std::uint64_t last_id = 0;
+};
+
+} // namespace wigeon
--- /dev/null
+++ b/libraries/routing/executor_exchange.h
@@ -0,0 +1,38 @@
+// One request to one executor over one connection: the whole answer, or what is known of its execution.
+
+#pragma once
+
+#include <string>
+#include <string_view>
+
+#include "base/error_kind.h"
+#include "base/time.h"
+#include "routing/connection_pool.h"
+#include "routing/executor_table.h"
+
+namespace wigeon {
+
+struct executor_request {
+    std::string path;
+    std::string body;
+    std::string content_type;
+    std::string request_id;         // Passed on, so that an executor can tell requests apart.
+    bool is_idempotent = false;
+    std::size_t answer_limit = std::size_t{64} << 20U;
+};
+
+struct executor_answer {
+    exchange_outcome outcome = exchange_outcome::broken;
+    execution ran = execution::may_have_run;
+    int status = 0;
+    std::string body;
+    std::string content_type;
+    std::string content_encoding;
+    bool is_timeout = false;
+};
+
+// `first_byte_limit` bounds the silence before the answer and within it, `deadline` the whole exchange.
+executor_answer exchange(executor_connection& connection, const executor_request& request,
+                         milliseconds first_byte_limit, steady_time deadline);
+
+} // namespace wigeon
--- /dev/null
+++ b/libraries/routing/executor_table.cpp
@@ -0,0 +1,213 @@
+// Shares, health and choice of executors.
+
+#include "routing/executor_table.h"
+
+#include <algorithm>
+
+#include <boost/container_hash/hash.hpp>
+
+#include "base/error_kind.h"
+
+namespace wigeon {
+
+namespace {
+
+constexpr milliseconds rise_delay{2500};
+constexpr milliseconds refusal_pause{250};
+constexpr milliseconds first_ejection{500};
+constexpr std::uint32_t longest_ejection_doublings = 4;
+constexpr double smoothing = 0.1;
+// An executor that fails most of its answers is set aside while most of the others are sound.
+constexpr double failing_rate = 0.6;
+constexpr double sound_rate = 0.2;
+// A failing executor looks idle because it fails fast; its score is raised so that it draws no extra work.
+constexpr double failure_penalty = 20;
+
+double score(const executor_state& state)
+{
+    const double load = (state.in_flight + 1.0) / std::max<std::uint32_t>(state.slot_share, 1);
+    return load * (1 + failure_penalty * state.failure_rate);
+}
+
+class two_choices : public routing_policy {
+public:
+    explicit two_choices(std::uint64_t seed) : random(seed) {}
+
+    std::size_t choose(const std::vector<executor_state>& executors,
+                       const std::vector<std::size_t>& candidates) override
+    {
+        std::uniform_int_distribution<std::size_t> draw(0, candidates.size() - 1);
+        const std::size_t first = candidates[draw(this->random)];
+        const std::size_t second = candidates[draw(this->random)];
+        return score(executors[second]) < score(executors[first]) ? second : first;
+    }
+
+private:
+    std::mt19937_64 random;
+};
+
+class round_robin : public routing_policy {
+public:
+    std::size_t choose(const std::vector<executor_state>& /*executors*/,
+                       const std::vector<std::size_t>& candidates) override
+    {
+        return candidates[this->next++ % candidates.size()];
+    }
+
+private:
+    std::size_t next = 0;
+};
+
+} // namespace
+
+std::unique_ptr<routing_policy> make_routing_policy(std::string_view name, std::uint64_t seed)
+{
+    if (name == "two_choices")
+        return std::make_unique<two_choices>(seed);
+    if (name == "round_robin")
+        return std::make_unique<round_robin>();
+    throw error(error_kind::malformed_request,
+                "routing_policy: '" + std::string(name) + "' is not one of two_choices, round_robin");
+}
+
+executor_table::executor_table(std::unique_ptr<routing_policy> policy, std::string zone)
+    : policy(std::move(policy)), zone(std::move(zone))
+{
+}
+
+void executor_table::configure(const Configuration& configuration)
+{
+    if (this->version == configuration.version())
+        return;
+    this->version = configuration.version();
+    std::vector<executor_state> next;
+    for (const Executor& executor : configuration.executors()) {
+        const auto known = std::find_if(this->states.begin(), this->states.end(), [&](const executor_state& state) {
+            return state.executor.id() == executor.id() && state.executor.address() == executor.address();
+        });
+        executor_state state = known == this->states.end() ? executor_state{} : *known;
+        state.executor = executor;
+        next.push_back(std::move(state));
+    }
+    this->states = std::move(next);
+}
+
+void executor_table::set_share(executor_state& state, std::uint32_t share, steady_time now)
+{
+    if (share <= state.slot_share) {
+        state.slot_share = share;
+        this->rising.erase(state.executor.id());
+        return;
+    }
+    auto [entry, is_new] = this->rising.try_emplace(state.executor.id(), share, now);
+    entry->second.first = std::min(entry->second.first, share);
+    if (now - entry->second.second < rise_delay)
+        return;
+    state.slot_share = entry->second.first;
+    this->rising.erase(entry);
+}
+
+void executor_table::divide_slots(const std::vector<entry_demand>& entries, std::uint64_t self, steady_time now)
+{
+    for (executor_state& state : this->states) {
+        const std::size_t salt = boost::hash<std::string>()(state.executor.id());
+        this->set_share(state, compute_share(state.executor.slots(), entries, self, salt), now);
+    }
+}
+
+void executor_table::divide_equally(std::size_t divisor, steady_time now)
+{
+    for (executor_state& state : this->states)
+        this->set_share(state, state.executor.slots() / static_cast<std::uint32_t>(std::max<std::size_t>(divisor, 1)),
+                        now);
+}
+
+void executor_table::note_leaving(const std::set<std::string, std::less<>>& leaving)
+{
+    for (executor_state& state : this->states)
+        state.is_listed_leaving = leaving.contains(state.executor.id());
+}
+
+bool executor_table::is_open(const executor_state& state, steady_time now) const
+{
+    return !state.is_listed_leaving && !state.executor.is_draining() && state.in_flight < state.slot_share && now >= state.refused_until &&
+           now >= state.ejected_until;
+}
+
+bool executor_table::has_room(steady_time now) const
+{
+    return std::any_of(this->states.begin(), this->states.end(),
+                       [&](const executor_state& state) { return this->is_open(state, now); });
+}
+
+std::optional<std::size_t> executor_table::take(const std::set<std::string>& excluded, steady_time now)
+{
+    std::vector<std::size_t> local;
+    std::vector<std::size_t> remote;
+    for (std::size_t i = 0; i < this->states.size(); ++i) {
+        const executor_state& state = this->states[i];
+        if (!this->is_open(state, now) || excluded.contains(state.executor.id()))
+            continue;
+        (state.executor.zone() == this->zone ? local : remote).push_back(i);
+    }
+    const std::vector<std::size_t>& candidates = local.empty() ? remote : local;
+    if (candidates.empty())
+        return std::nullopt;
+    const std::size_t chosen = this->policy->choose(this->states, candidates);
+    ++this->states[chosen].in_flight;
+    return chosen;
+}
+
+void executor_table::eject(executor_state& state, steady_time now)
+{
+    const std::uint32_t doublings = std::min(state.failures_in_row, longest_ejection_doublings);
+    state.ejected_until = now + first_ejection * (1U << doublings);
+}
+
+void executor_table::give_back(const std::string& executor, exchange_outcome outcome, double duration_ms,
+                               steady_time now)
+{
+    const auto found = std::find_if(this->states.begin(), this->states.end(), [&](const executor_state& state) {
+        return state.executor.id() == executor;
+    });
+    if (found == this->states.end())
+        return;
+    executor_state& state = *found;
+    state.in_flight -= std::min<std::uint32_t>(state.in_flight, 1);
+    switch (outcome) {
+    case exchange_outcome::refused:
+        state.refused_until = now + refusal_pause;
+        return;
+    case exchange_outcome::unreachable:
+    case exchange_outcome::broken:
+        this->eject(state, now);
+        ++state.failures_in_row;
+        return;
+    case exchange_outcome::answered:
+    case exchange_outcome::failed_answer:
+        break;
+    }
+    state.failures_in_row = 0;
+    const double failed = outcome == exchange_outcome::failed_answer ? 1 : 0;
+    state.failure_rate += smoothing * (failed - state.failure_rate);
+    state.mean_ms += smoothing * (duration_ms - state.mean_ms);
+    if (state.failure_rate < failing_rate)
+        return;
+    const auto sound = std::count_if(this->states.begin(), this->states.end(),
+                                     [](const executor_state& other) { return other.failure_rate < sound_rate; });
+    if (static_cast<std::size_t>(sound) * 2 <= this->states.size())
+        return;
+    this->eject(state, now);
+    // It comes back on trial: one more failure sets it aside again, a few good answers clear it.
+    state.failure_rate = failing_rate - smoothing;
+}
+
+std::uint32_t executor_table::in_flight() const
+{
+    std::uint32_t sum = 0;
+    for (const executor_state& state : this->states)
+        sum += state.in_flight;
+    return sum;
+}
+
+} // namespace wigeon
--- /dev/null
+++ b/libraries/routing/executor_table.h
@@ -0,0 +1,93 @@
+// What one entry knows of the executors: its share of their slots, the work it has in flight there, who is
+// leaving, and who fails. Chooses the executor of the next request. Pure: time is an argument.
+
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/time.h"
+#include "membership/member_table.h"
+#include "wigeon.pb.h"
+
+namespace wigeon {
+
+enum class exchange_outcome : std::uint8_t {
+    answered,         // A whole answer, below status 500.
+    failed_answer,    // A whole answer of status 500 or above.
+    refused,          // The executor said that it did not run the request.
+    unreachable,      // No connection.
+    broken,           // The exchange broke off or timed out.
+};
+
+struct executor_state {
+    Executor executor;
+    std::uint32_t slot_share = 0;
+    std::uint32_t in_flight = 0;
+    bool is_listed_leaving = false;
+    steady_time refused_until{};          // By the executor's own word.
+    steady_time ejected_until{};          // Because connections or answers failed.
+    std::uint32_t failures_in_row = 0;
+    double failure_rate = 0;              // Smoothed share of answers of status 500 or above.
+    double mean_ms = 0;                   // Smoothed time of an exchange.
+};
+
+// Chooses among the candidates; indices into the table.
+class routing_policy {
+public:
+    virtual ~routing_policy() = default;
+    virtual std::size_t choose(const std::vector<executor_state>& executors,
+                               const std::vector<std::size_t>& candidates) = 0;
+};
+
+// "two_choices" or "round_robin". Throws error(malformed_request) for another name.
+std::unique_ptr<routing_policy> make_routing_policy(std::string_view name, std::uint64_t seed);
+
+class executor_table {
+public:
+    executor_table(std::unique_ptr<routing_policy> policy, std::string zone);
+
+    // Follows the configuration. Executors that stay keep what was learnt of them.
+    void configure(const Configuration& configuration);
+
+    // Divides the slots among the entries. `entries` holds this one as well.
+    void divide_slots(const std::vector<entry_demand>& entries, std::uint64_t self, steady_time now);
+
+    // Each of `divisor` entries takes an equal share, when the demands are unknown.
+    void divide_equally(std::size_t divisor, steady_time now);
+
+    void note_leaving(const std::set<std::string, std::less<>>& leaving);
+
+    // True when some executor could take a request now.
+    [[nodiscard]] bool has_room(steady_time now) const;
+
+    // Takes a slot of an executor that is not excluded; zone-local ones come first.
+    std::optional<std::size_t> take(const std::set<std::string>& excluded, steady_time now);
+
+    // Gives the slot back and learns from the exchange.
+    void give_back(const std::string& executor, exchange_outcome outcome, double duration_ms, steady_time now);
+
+    [[nodiscard]] const std::vector<executor_state>& executors() const { return this->states; }
+    [[nodiscard]] std::uint32_t in_flight() const;
+
+private:
+    [[nodiscard]] bool is_open(const executor_state& state, steady_time now) const;
+    void set_share(executor_state& state, std::uint32_t share, steady_time now);
+    void eject(executor_state& state, steady_time now);
+
+    std::unique_ptr<routing_policy> policy;
+    std::string zone;
+    std::uint64_t version = 0;
+    std::vector<executor_state> states;
+    // A share rises only after this delay, when the others have seen theirs fall.
+    std::map<std::string, std::pair<std::uint32_t, steady_time>> rising;
+};
+
+} // namespace wigeon
--- /dev/null
+++ b/libraries/routing/retry_budget.h
@@ -0,0 +1,33 @@
+// Bounds the retries of one entry to a fraction of its requests, so that retries never multiply an overload.
+
+#pragma once
+
+#include <algorithm>
+
+#include "base/time.h"
+
+namespace wigeon {
+
+class retry_budget {
+public:
+    explicit retry_budget(double fraction) : fraction(fraction) {}
+
+    void note_request() { this->tokens = std::min(this->tokens + this->fraction, token_limit); }
+
+    // Takes one retry from the budget; false when none is left.
+    bool try_take()
+    {
+        if (this->tokens < 1)
+            return false;
+        this->tokens -= 1;
+        return true;
+    }
+
+private:
+    static constexpr double token_limit = 20;
+
+    double fraction;
+    double tokens = 2;      // At most token_limit. A quiet entry may retry at once, but not in bulk.
+};
+
+} // namespace wigeon
--- /dev/null
+++ b/libraries/scheduling/scheduler_loop.cpp
@@ -0,0 +1,304 @@
+// Wiring of the scheduler's decisions to the log and the workers.
+
+#include "scheduling/scheduler_loop.h"
+
+#include "base/logging.h"
+#include "base/metrics.h"
+#include "base/network.h"
+
+namespace wigeon {
+
+namespace {
+
+constexpr milliseconds tick{10};
+constexpr milliseconds host_list_interval{1000};
+constexpr milliseconds unreachable_after{700};
+constexpr milliseconds term_write_limit{5000};
+constexpr milliseconds decision_write_limit{10'000};
+constexpr milliseconds shortest_plan_interval{20};
+// Without a change of the state, time alone may allow a placement: a quarantine ends, a worker comes back.
+constexpr milliseconds longest_plan_interval{500};
+constexpr std::uint64_t jitter_limit_ms = 300;
+
+term_options make_term_options(const SchedulerSettings& settings, std::uint64_t incarnation)
+{
+    term_options options;
+    options.renewal_interval = milliseconds(settings.renewal_interval_ms());
+    options.term_timeout = milliseconds(settings.term_timeout_ms());
+    options.confirm_limit = milliseconds(settings.confirm_limit_ms());
+    options.unconfirmed_limit = std::chrono::seconds(settings.unconfirmed_limit_s());
+    options.claim_jitter = milliseconds(incarnation % jitter_limit_ms);
+    return options;
+}
+
+gang_options make_gang_options(const SchedulerSettings& settings)
+{
+    gang_options options;
+    options.lease = milliseconds(settings.lease_ms());
+    options.hold = milliseconds(settings.hold_ms());
+    options.start_limit = milliseconds(settings.hold_ms() * 5 / 6);
+    options.checkpoint_limit = milliseconds(settings.checkpoint_limit_ms());
+    options.call_limit = milliseconds(settings.worker_timeout_ms());
+    options.ping_interval = milliseconds(settings.ping_interval_ms());
+    options.adoption_limit = std::chrono::seconds(settings.unconfirmed_limit_s()) + options.lease;
+    options.job_attempts = settings.job_attempts();
+    return options;
+}
+
+planner_options make_planner_options(const SchedulerSettings& settings)
+{
+    planner_options options;
+    options.quarantine_failures = settings.quarantine_failures();
+    options.quarantine_ms = std::uint64_t{settings.quarantine_s()} * 1000;
+    return options;
+}
+
+bool is_done(const std::future<apply_result>& outcome)
+{
+    return outcome.wait_for(std::chrono::seconds(0)) == std::future_status::ready;
+}
+
+// True when the record was read back and is in force.
+bool is_in_force(std::future<apply_result>& outcome)
+{
+    try {
+        return outcome.get().outcome == apply_outcome::applied;
+    }
+    catch (const error& failure) {
+        count_retry(find_answer(failure.kind()).name);
+        return false;
+    }
+}
+
+} // namespace
+
+scheduler_loop::scheduler_loop(const SchedulerSettings& settings, std::string operator_address, replica& state)
+    : settings(settings),
+      operator_address(std::move(operator_address)),
+      state(state),
+      keeper(state.incarnation(), make_term_options(settings, state.incarnation())),
+      job_planner(make_placement_policy(settings.placement_policy()), make_planner_options(settings)),
+      driver(make_gang_options(settings)),
+      workers(settings.worker_threads(),
+              [&settings] { return make_http_worker_service(milliseconds(settings.worker_timeout_ms())); })
+{
+}
+
+scheduler_loop::~scheduler_loop()
+{
+    this->stop();
+}
+
+void scheduler_loop::start()
+{
+    this->decider = std::thread([this] { this->run(); });
+    this->snapshot_writer = std::thread([this] { this->run_snapshots(); });
+    if (!this->settings.host_list_address().empty())
+        this->host_reader = std::thread([this] { this->run_host_list(); });
+}
+
+void scheduler_loop::stop()
+{
+    this->stopping = true;
+    for (std::thread* thread : {&this->decider, &this->snapshot_writer, &this->host_reader}) {
+        if (thread->joinable())
+            thread->join();
+    }
+    this->workers.stop();
+}
+
+std::map<std::string, std::string> scheduler_loop::wait_reasons() const
+{
+    const std::lock_guard lock(this->shared_mutex);
+    return this->reasons;
+}
+
+worker_set scheduler_loop::unreachable_workers() const
+{
+    const std::lock_guard lock(this->shared_mutex);
+    return this->unreachable;
+}
+
+void scheduler_loop::run()
+{
+    std::uint64_t seen = 0;
+    while (!this->stopping) {
+        seen = this->state.wait_for_change(seen, tick);
+        if (!this->state.is_ready())
+            continue;
+        this->settle_term();
+        this->take_results();
+        const steady_time now = read_steady_clock();
+        this->keep_term(now);
+        this->drive(now);
+        this->decide(now);
+    }
+}
+
+void scheduler_loop::keep_term(steady_time now)
+{
+    const term_view view = this->state.read([](const replicated_state& current) {
+        return term_view{current.term(), current.holder(), current.renewal_offset()};
+    });
+    this->keeper.note_log(view, this->state.last_log_answer(), now);
+    const bool is_holder_now = this->keeper.is_holder();
+    if (is_holder_now != this->holds_term) {
+        this->holds_term = is_holder_now;
+        log_change(is_holder_now ? "term_held" : "term_lost", {{"term", std::to_string(view.term)}});
+        process_metrics().count(is_holder_now ? "wigeon_terms_held_total" : "wigeon_terms_lost_total");
+    }
+    const term_action action = this->keeper.decide(now);
+    if (action == term_action::nothing)
+        return;
+    Record record;
+    if (action == term_action::claim) {
+        record.mutable_claim()->set_term(view.term + 1);
+        record.mutable_claim()->set_address(this->operator_address);
+        record.mutable_claim()->set_renewal_offset(view.renewal_offset);
+        process_metrics().count("wigeon_term_claims_total");
+    }
+    else {
+        record.mutable_renewal()->set_term(view.term);
+    }
+    this->keeper.note_sent(now);
+    this->pending_term = this->state.submit_later(std::move(record), now + term_write_limit);
+}
+
+void scheduler_loop::settle_term()
+{
+    if (!this->pending_term || !is_done(*this->pending_term))
+        return;
+    this->keeper.note_settled(is_in_force(*this->pending_term));
+    this->pending_term.reset();
+}
+
+void scheduler_loop::take_results()
+{
+    while (auto result = this->workers.receive(milliseconds(0))) {
+        if (result->is_dropped)
+            this->driver.note_dropped(result->orders.worker());
+        else
+            this->driver.note_answer(result->orders, result->answer, result->sent_at, result->answered_at);
+    }
+}
+
+void scheduler_loop::drive(steady_time now)
+{
+    if (this->driven_term != this->keeper.term()) {
+        this->driven_term = this->keeper.term();
+        this->driver.begin_term(this->driven_term);
+    }
+    if (!this->keeper.may_renew_leases(now) || this->driver.is_fenced())
+        return;
+    const bool may_act = this->keeper.may_act(now);
+    std::vector<worker_message> messages = this->state.read(
+        [&](const replicated_state& current) { return this->driver.make_orders(current, now, may_act); });
+    for (worker_message& message : messages)
+        this->workers.send(std::move(message));
+}
+
+bool scheduler_loop::is_decision_pending()
+{
+    if (!this->pending)
+        return false;
+    if (!is_done(this->pending->outcome))
+        return true;
+    if (is_in_force(this->pending->outcome))
+        process_metrics().count("wigeon_decisions_total", this->pending->count);
+    this->pending.reset();
+    return false;
+}
+
+void scheduler_loop::decide(steady_time now)
+{
+    // One batch of decisions at a time: the next is made on the state that holds the last.
+    if (this->is_decision_pending() || !this->keeper.may_act(now) || this->driver.is_fenced())
+        return;
+    std::vector<Decision> decisions = this->state.read([&](const replicated_state& current) {
+        std::vector<Decision> made = this->driver.make_decisions(current, now);
+        if (made.empty())
+            made = this->plan_jobs(current, now);
+        return made;
+    });
+    if (!decisions.empty())
+        this->write_decisions(std::move(decisions), now);
+}
+
+std::vector<Decision> scheduler_loop::plan_jobs(const replicated_state& current, steady_time now)
+{
+    const milliseconds age = elapsed_ms(this->planned_at, now);
+    const bool is_due = age >= longest_plan_interval ||
+                        (age >= shortest_plan_interval && current.next_offset() != this->planned_offset);
+    if (!is_due)
+        return {};
+    this->planned_at = now;
+    this->planned_offset = current.next_offset();
+    worker_set unreachable_now;
+    for (std::string& worker : this->driver.list_silent(now, unreachable_after))
+        unreachable_now.insert(std::move(worker));
+    worker_set gone;
+    const milliseconds rebind_after(this->settings.rebind_after_ms());
+    for (std::string& worker : this->driver.list_silent(now, rebind_after))
+        gone.insert(std::move(worker));
+    {
+        const std::lock_guard lock(this->shared_mutex);
+        this->unreachable = unreachable_now;
+        gone.insert(this->leaving.begin(), this->leaving.end());
+    }
+    plan made = this->job_planner.make_plan(current, unreachable_now, gone, read_wall_clock_ms());
+    const steady_time end = read_steady_clock();
+    process_metrics().observe_ms("wigeon_plan_ms", std::chrono::duration<double, std::milli>(end - now).count());
+    const std::lock_guard lock(this->shared_mutex);
+    this->reasons = std::move(made.wait_reasons);
+    return std::move(made.decisions);
+}
+
+void scheduler_loop::write_decisions(std::vector<Decision> decisions, steady_time now)
+{
+    Record record;
+    Decisions& body = *record.mutable_decisions();
+    body.set_term(this->keeper.term());
+    body.set_configuration_version(
+        this->state.read([](const replicated_state& current) { return current.configuration().version(); }));
+    for (Decision& decision : decisions)
+        *body.add_decisions() = std::move(decision);
+    this->pending = pending_decisions{this->state.submit_later(std::move(record), now + decision_write_limit),
+                                      decisions.size()};
+}
+
+void scheduler_loop::run_host_list()
+{
+    const auto hosts = make_http_host_list(this->settings.host_list_address(), host_list_interval);
+    while (!this->stopping) {
+        if (auto newest = hosts->read_leaving()) {
+            const std::lock_guard lock(this->shared_mutex);
+            this->leaving = std::move(*newest);
+        }
+        else {
+            count_retry("host_list");
+        }
+        std::this_thread::sleep_for(host_list_interval);
+    }
+}
+
+// The holder writes the snapshots, also when nothing changed, so that one is always within the log's retention.
+void scheduler_loop::run_snapshots()
+{
+    steady_time next = read_steady_clock() + std::chrono::seconds(this->settings.snapshot_interval_s());
+    while (!this->stopping) {
+        std::this_thread::sleep_for(milliseconds(100));
+        const steady_time now = read_steady_clock();
+        if (now < next || !this->holds_term)
+            continue;
+        try {
+            this->state.append_snapshot();
+            next = now + std::chrono::seconds(this->settings.snapshot_interval_s());
+        }
+        catch (const log_call_error&) {
+            count_retry("snapshot");
+            next = now + std::chrono::seconds(1);
+        }
+    }
+}
+
+} // namespace wigeon
--- /dev/null
+++ b/libraries/scheduling/scheduler_loop.h
@@ -0,0 +1,87 @@
+// The deciding thread of a scheduler: follows the log, holds or stands by for the term, plans, and drives the
+// gangs. All decisions are made by term_keeper, planner and gang_driver; this class moves their results.
+
+#pragma once
+
+#include <atomic>
+#include <future>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "placement/planner.h"
+#include "platform/host_list.h"
+#include "replica/replica.h"
+#include "scheduling/gang_driver.h"
+#include "scheduling/term_keeper.h"
+#include "scheduling/worker_pool.h"
+#include "wigeon.pb.h"
+
+namespace wigeon {
+
+class scheduler_loop {
+public:
+    scheduler_loop(const SchedulerSettings& settings, std::string operator_address, replica& state);
+    ~scheduler_loop();
+
+    scheduler_loop(const scheduler_loop&) = delete;
+    scheduler_loop& operator=(const scheduler_loop&) = delete;
+
+    void start();
+    void stop();
+
+    [[nodiscard]] bool is_holder() const { return this->holds_term; }
+
+    // Why the waiting jobs wait, from the newest planning round of this holder.
+    [[nodiscard]] std::map<std::string, std::string> wait_reasons() const;
+
+    [[nodiscard]] worker_set unreachable_workers() const;
+
+private:
+    struct pending_decisions {
+        std::future<apply_result> outcome;
+        std::size_t count = 0;
+    };
+
+    void run();
+    void run_host_list();
+    void run_snapshots();
+    void keep_term(steady_time now);
+    void settle_term();
+    void take_results();
+    void drive(steady_time now);
+    void decide(steady_time now);
+    void write_decisions(std::vector<Decision> decisions, steady_time now);
+    bool is_decision_pending();
+    std::vector<Decision> plan_jobs(const replicated_state& current, steady_time now);
+
+    const SchedulerSettings settings;
+    const std::string operator_address;
+    replica& state;
+    term_keeper keeper;
+    planner job_planner;
+    gang_driver driver;
+    worker_pool workers;
+
+    std::optional<std::future<apply_result>> pending_term;
+    std::optional<pending_decisions> pending;
+    std::uint64_t driven_term = 0;
+    std::uint64_t planned_offset = 0;          // The state's offset at the newest planning round.
+    steady_time planned_at{};
+
+    mutable std::mutex shared_mutex;
+    std::map<std::string, std::string> reasons;     // Guarded by shared_mutex.
+    worker_set unreachable;                         // Guarded by shared_mutex.
+    worker_set leaving;                             // Guarded by shared_mutex.
+
+    std::atomic<bool> holds_term = false;
+    std::atomic<bool> stopping = false;
+    std::thread decider;
+    std::thread host_reader;
+    std::thread snapshot_writer;
+};
+
+} // namespace wigeon
--- /dev/null
+++ b/libraries/scheduling/term_keeper.h
@@ -0,0 +1,67 @@
+// Decides when this scheduler claims the scheduling term, when it renews it, and whether it may act on it.
+// Only what was read back from the log counts; the present time is an argument.
+
+#pragma once
+
+#include <cstdint>
+#include <optional>
+
+#include "base/time.h"
+
+namespace wigeon {
+
+struct term_options {
+    milliseconds renewal_interval{400};
+    milliseconds term_timeout{1200};      // Without a renewal for this long, a standby claims.
+    milliseconds confirm_limit{3000};     // A confirmation allows starts and stops for this long.
+    milliseconds unconfirmed_limit{900'000};
+    milliseconds claim_jitter{0};         // Added to term_timeout, so that not all standbys claim at once.
+};
+
+// What the log says of the term.
+struct term_view {
+    std::uint64_t term = 0;
+    std::uint64_t holder = 0;
+    std::uint64_t renewal_offset = 0;
+};
+
+enum class term_action : std::uint8_t { nothing, claim, renew };
+
+class term_keeper {
+public:
+    term_keeper(std::uint64_t self, term_options options) : self(self), options(options) {}
+
+    // Tells the newest state of the log and when the log service last answered.
+    void note_log(const term_view& view, steady_time last_answer, steady_time now);
+
+    [[nodiscard]] term_action decide(steady_time now) const;
+
+    // A claim or renewal is being written. `now` is read before it is sent.
+    void note_sent(steady_time now);
+
+    // The pending claim or renewal was read back, or failed.
+    void note_settled(bool is_in_force);
+
+    [[nodiscard]] bool is_holder() const { return this->view.holder == this->self; }
+    [[nodiscard]] std::uint64_t term() const { return this->view.term; }
+    [[nodiscard]] const term_view& known() const { return this->view; }
+
+    // True while the holder may start and stop tasks.
+    [[nodiscard]] bool may_act(steady_time now) const;
+
+    // True while the holder may renew the leases of running tasks.
+    [[nodiscard]] bool may_renew_leases(steady_time now) const;
+
+private:
+    const std::uint64_t self;
+    const term_options options;
+    term_view view;
+    steady_time last_progress{};                   // When a change of the term or a renewal was last read.
+    steady_time last_log_answer{};
+    std::optional<steady_time> pending_since;      // Set while a claim or renewal is on its way.
+    steady_time confirmed_at{};                    // Start of the newest write that was read back in force.
+    steady_time last_renewal{};
+    bool is_started = false;
+};
+
+} // namespace wigeon
--- /dev/null
+++ b/libraries/scheduling/worker_pool.h
@@ -0,0 +1,51 @@
+// Threads that carry worker messages out. Workers that did not answer last time have a lane of their own, so
+// that a lost rack does not delay the orders of the others.
+
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <thread>
+#include <vector>
+
+#include "base/bounded_ring.h"
+#include "scheduling/gang_driver.h"
+#include "scheduling/worker_service.h"
+
+namespace wigeon {
+
+struct worker_result {
+    WorkerOrders orders;
+    worker_answer answer;
+    steady_time sent_at{};
+    steady_time answered_at{};
+    bool is_dropped = false;      // Too old, or no room in the ring: it was not sent.
+};
+
+class worker_pool {
+public:
+    worker_pool(std::size_t threads, const std::function<std::unique_ptr<worker_service>()>& make_service);
+    ~worker_pool();
+
+    worker_pool(const worker_pool&) = delete;
+    worker_pool& operator=(const worker_pool&) = delete;
+
+    void send(worker_message message);
+
+    // A finished exchange, or nothing when none ends within the limit.
+    std::optional<worker_result> receive(milliseconds limit) { return this->results.pop(limit); }
+
+    void stop();
+
+private:
+    void run(bounded_ring<worker_message>& lane, worker_service& service);
+
+    static constexpr std::size_t ring_capacity = 8192;
+    bounded_ring<worker_message> lane{ring_capacity};
+    bounded_ring<worker_message> silent_lane{ring_capacity};
+    bounded_ring<worker_result> results{ring_capacity};
+    std::vector<std::unique_ptr<worker_service>> services;
+    std::vector<std::thread> threads;
+};
+
+} // namespace wigeon
--- /dev/null
+++ b/libraries/scheduling/worker_service.h
@@ -0,0 +1,35 @@
+// A worker as the scheduler sees it. The wire interface of the users' workers is behind this class.
+
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "base/time.h"
+#include "wigeon.pb.h"
+
+namespace wigeon {
+
+enum class worker_call : std::uint8_t {
+    answered,
+    refused,        // No connection: the orders were not seen.
+    uncertain,      // The orders may have taken effect.
+};
+
+struct worker_answer {
+    worker_call call = worker_call::uncertain;
+    WorkerReports reports;
+};
+
+class worker_service {
+public:
+    virtual ~worker_service() = default;
+
+    virtual worker_answer send(const std::string& address, const WorkerOrders& orders) = 0;
+};
+
+// Speaks HTTP with protobuf bodies on one kept-alive connection per address. Not for use by two threads at once.
+std::unique_ptr<worker_service> make_http_worker_service(milliseconds timeout);
+
+} // namespace wigeon
--- /dev/null
+++ b/services/scheduler/main.cpp
@@ -0,0 +1,66 @@
+// wigeon-scheduler: places jobs on workers while it holds the scheduling term, and stands by otherwise.
+
+#include <iostream>
+
+#include "base/error_kind.h"
+#include "base/logging.h"
+#include "base/network.h"
+#include "base/settings.h"
+#include "membership/peer_gossip.h"
+#include "replica/replica.h"
+#include "scheduling/operator_api.h"
+#include "scheduling/scheduler_loop.h"
+
+namespace wigeon {
+
+namespace {
+
+constexpr std::size_t operator_threads = 4;
+
+void run(const SchedulerSettings& settings)
+{
+    const CommonSettings& common = settings.common();
+    replica state({common.log_address(), milliseconds(common.log_timeout_ms()), milliseconds(common.append_window_ms())});
+    peer_gossip gossip(common, "scheduler", state);
+    scheduler_loop loop(settings, settings.operator_address(), state);
+    operator_api api(state, loop, gossip);
+
+    http_server operators(operator_threads);
+    add_health_routes(operators.routes(), [&] { return state.is_ready() && gossip.is_current(); });
+    api.add_routes(operators.routes());
+    const int operator_port = operators.start(settings.operator_address());
+    gossip.start([] { return 0U; });
+    state.start([&gossip](std::uint64_t offset) { return gossip.ask_state(offset); });
+    loop.start();
+    log_change("started", {{"incarnation", format_incarnation(state.incarnation())},
+                           {"operator_port", std::to_string(operator_port)}});
+
+    wait_for_stop_signal();
+    log_change("shutdown_begun", {});
+    gossip.announce_leave();
+    loop.stop();
+    operators.stop();
+    state.stop();
+    gossip.stop();
+    log_change("stopped", {});
+}
+
+} // namespace
+
+} // namespace wigeon
+
+int main(int argc, char** argv)
+{
+    wigeon::block_stop_signals();
+    wigeon::SchedulerSettings settings;
+    wigeon::load_settings("wigeon-scheduler: places jobs on workers", settings, argc, argv);
+    wigeon::start_logging("wigeon-scheduler", settings.common().log_format());
+    try {
+        wigeon::run(settings);
+        return 0;
+    }
+    catch (const std::exception& failure) {
+        std::cerr << "wigeon-scheduler: " << failure.what() << '\n';
+        return 1;
+    }
+}
--- /dev/null
+++ b/tests/stand_ins/executors.cpp
@@ -0,0 +1,161 @@
+// Stand-in for many executors in one process, each on a port of its own with a fixed number of slots. A request's
+// path tells what it does: /work/MS answers after MS ms, /size/N answers N bytes in chunks, /broken cuts its body.
+// GET /runs on the control port lists "request-id runs executor" and the highest number of slots in use.
+// POST /control with executor and one of refuse, fail, slow_ms or leaving sets a fault.
+// Usage: stand-in-executors HOST FIRST_PORT COUNT SLOTS
+
+#include <atomic>
+#include <iostream>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <sstream>
+
+#include "base/network.h"
+#include "base/settings.h"
+#include "base/time.h"
+
+namespace wigeon {
+
+namespace {
+
+constexpr std::size_t server_threads = 64;
+constexpr std::size_t chunk_bytes = 1000;
+
+// Counts how often each request ran, over all executors.
+struct run_book {
+    std::mutex mutex;
+    std::map<std::string, int> runs;
+};
+
+class executor {
+public:
+    executor(int slots, run_book& book) : slots(slots), book(book) {}
+
+    void handle(const httplib::Request& request, httplib::Response& answer)
+    {
+        ++this->received;
+        const int used = ++this->in_use;
+        int seen = this->most_used;
+        while (used > seen && !this->most_used.compare_exchange_weak(seen, used))
+            ;
+        if (used > this->slots)
+            ++this->over_limit;
+        if (used > this->slots || this->refuses) {
+            --this->in_use;
+            answer.status = 503;
+            answer.set_header("Wigeon-Execution", "did_not_run");
+            answer.set_content("busy", "text/plain");
+            return;
+        }
+        {
+            const std::lock_guard lock(this->book.mutex);
+            ++this->book.runs[request.get_header_value("Wigeon-Request-Id")];
+        }
+        this->run(request, answer);
+        --this->in_use;
+    }
+
+    std::atomic<int> in_use = 0;
+    std::atomic<int> most_used = 0;
+    std::atomic<int> over_limit = 0;
+    std::atomic<int> received = 0;
+    std::atomic<bool> refuses = false;
+    std::atomic<bool> fails = false;
+    std::atomic<int> slow_ms = 0;
+
+private:
+    void run(const httplib::Request& request, httplib::Response& answer)
+    {
+        if (this->fails) {
+            answer.status = 500;
+            answer.set_content("failed", "text/plain");
+            return;
+        }
+        std::this_thread::sleep_for(milliseconds(this->slow_ms));
+        const std::string id = request.get_header_value("Wigeon-Request-Id");
+        const std::string number = request.matches.size() > 2 ? request.matches[2].str() : "0";
+        const std::string kind = request.matches[1].str();
+        if (kind == "work") {
+            std::this_thread::sleep_for(milliseconds(std::stoul(number)));
+            answer.set_content("answer " + id + " " + request.body, "text/plain");
+            return;
+        }
+        const std::size_t size = std::stoul(number);
+        const bool is_cut = kind == "broken";
+        answer.set_chunked_content_provider(
+            "application/octet-stream", [size, is_cut](std::size_t offset, httplib::DataSink& sink) {
+                if (is_cut && offset >= size / 2)
+                    return false;
+                const std::string chunk(std::min(chunk_bytes, size - offset), 'x');
+                sink.write(chunk.data(), chunk.size());
+                if (offset + chunk.size() >= size)
+                    sink.done();
+                return true;
+            });
+    }
+
+    const int slots;
+    run_book& book;
+};
+
+} // namespace
+
+} // namespace wigeon
+
+int main(int argc, char** argv)
+{
+    using namespace wigeon;
+    block_stop_signals();
+    if (argc != 5) {
+        std::cerr << "usage: stand-in-executors HOST FIRST_PORT COUNT SLOTS\n";
+        return usage_exit_code;
+    }
+    const int first_port = std::stoi(argv[2]);
+    const int count = std::stoi(argv[3]);
+    run_book book;
+    std::vector<std::unique_ptr<executor>> executors;
+    std::vector<std::unique_ptr<http_server>> servers;
+    for (int i = 0; i < count; ++i) {
+        executor& own = *executors.emplace_back(std::make_unique<executor>(std::stoi(argv[4]), book));
+        http_server& server = *servers.emplace_back(std::make_unique<http_server>(server_threads));
+        server.routes().set_keep_alive_max_count(1'000'000);
+        server.routes().set_keep_alive_timeout(60);
+        server.routes().Get("/healthz", [](const auto&, auto& answer) { answer.set_content("ok", "text/plain"); });
+        server.routes().Post(R"(/(work|size|broken)/(\d+))",
+                             [&own](const auto& request, auto& answer) { own.handle(request, answer); });
+    }
+    http_server control(4);
+    control.routes().Get("/runs", [&](const auto&, auto& answer) {
+        std::ostringstream out;
+        const std::lock_guard lock(book.mutex);
+        for (const auto& [id, runs] : book.runs)
+            out << id << ' ' << runs << '\n';
+        answer.set_content(out.str(), "text/plain");
+    });
+    control.routes().Get("/loads", [&](const auto&, auto& answer) {
+        std::ostringstream out;
+        for (const auto& own : executors)
+            out << own->in_use << ' ' << own->most_used << ' ' << own->over_limit << ' ' << own->received << '\n';
+        answer.set_content(out.str(), "text/plain");
+    });
+    control.routes().Post("/control", [&](const auto& request, auto&) {
+        const bool is_all = request.get_param_value("executor") == "all";
+        for (int i = 0; i < count; ++i) {
+            if (!is_all && request.get_param_value("executor") != std::to_string(i))
+                continue;
+            executor& chosen = *executors[static_cast<std::size_t>(i)];
+            if (request.has_param("refuse"))
+                chosen.refuses = request.get_param_value("refuse") == "1";
+            if (request.has_param("fail"))
+                chosen.fails = request.get_param_value("fail") == "1";
+            if (request.has_param("slow_ms"))
+                chosen.slow_ms = std::stoi(request.get_param_value("slow_ms"));
+        }
+    });
+    for (int i = 0; i < count; ++i)
+        servers[static_cast<std::size_t>(i)]->start(std::string(argv[1]) + ":" + std::to_string(first_port + i));
+    control.start(std::string(argv[1]) + ":" + std::to_string(first_port + count));
+    wait_for_stop_signal();
+    std::_Exit(0);
+}
--- /dev/null
+++ b/tests/stand_ins/platform.cpp
@@ -0,0 +1,147 @@
+// Stand-in for the platform's log service and host list: streams with offsets, limited retention, and outages.
+// POST /control with the form fields down, slow_ms, drop_answers and keep changes its behaviour while it runs;
+// POST /hosts with id and leaving changes the host list.
+
+#include <atomic>
+#include <condition_variable>
+#include <deque>
+#include <iostream>
+#include <map>
+#include <mutex>
+
+#include "base/network.h"
+#include "base/settings.h"
+#include "base/time.h"
+#include "wigeon.pb.h"
+
+namespace wigeon {
+
+namespace {
+
+struct stream {
+    std::deque<std::string> records;
+    std::uint64_t earliest = 0;
+};
+
+constexpr std::uint64_t page_bytes = 512 * 1024;
+constexpr std::size_t threads = 128;
+
+class platform {
+public:
+    void add_routes(httplib::Server& server)
+    {
+        server.set_keep_alive_max_count(1'000'000);
+        server.Post(R"(/streams/([a-z\-]+))", [this](const auto& request, auto& answer) { this->append(request, answer); });
+        server.Get(R"(/streams/([a-z\-]+))", [this](const auto& request, auto& answer) { this->read(request, answer); });
+        server.Get("/hosts", [this](const auto&, auto& answer) {
+            const std::lock_guard lock(this->mutex);
+            answer.set_content(this->hosts.SerializeAsString(), "application/x-protobuf");
+        });
+        server.Post("/hosts", [this](const auto& request, auto&) {
+            const std::lock_guard lock(this->mutex);
+            HostEntry* host = this->hosts.add_hosts();
+            host->set_id(request.get_param_value("id"));
+            host->set_is_leaving(request.get_param_value("leaving") == "1");
+        });
+        server.Post("/control", [this](const auto& request, auto&) { this->control(request); });
+        server.Get("/counts", [this](const auto&, auto& answer) {
+            answer.set_content(std::to_string(this->appends) + " " + std::to_string(this->bytes_read), "text/plain");
+        });
+    }
+
+private:
+    void control(const httplib::Request& request)
+    {
+        const auto set = [&](const char* name, std::atomic<int>& value) {
+            if (request.has_param(name))
+                value = std::stoi(request.get_param_value(name));
+        };
+        set("down", this->down);
+        set("slow_ms", this->slow_ms);
+        set("drop_answers", this->drop_answers);
+        if (!request.has_param("keep"))
+            return;
+        const std::lock_guard lock(this->mutex);
+        for (auto& [name, entry] : this->streams) {
+            while (entry.records.size() > std::stoul(request.get_param_value("keep"))) {
+                entry.records.pop_front();
+                ++entry.earliest;
+            }
+        }
+    }
+
+    void append(const httplib::Request& request, httplib::Response& answer)
+    {
+        std::this_thread::sleep_for(milliseconds(this->slow_ms));
+        RecordBatch batch;
+        if (this->down != 0 || !batch.ParseFromString(request.body)) {
+            answer.status = this->down != 0 ? 503 : 400;
+            return;
+        }
+        AppendAnswer appended;
+        {
+            const std::lock_guard lock(this->mutex);
+            stream& entry = this->streams[request.matches[1]];
+            appended.set_first_offset(entry.earliest + entry.records.size());
+            for (std::string& record : *batch.mutable_records())
+                entry.records.push_back(std::move(record));
+        }
+        ++this->appends;
+        this->changed.notify_all();
+        if (this->drop_answers > 0) {
+            --this->drop_answers;
+            answer.status = 500;
+            return;
+        }
+        answer.set_content(appended.SerializeAsString(), "application/x-protobuf");
+    }
+
+    void read(const httplib::Request& request, httplib::Response& answer)
+    {
+        const std::uint64_t from = std::stoull(request.get_param_value("from"));
+        const milliseconds wait(std::stoul(request.get_param_value("wait_ms")));
+        std::unique_lock lock(this->mutex);
+        if (this->down != 0) {
+            answer.status = 503;
+            return;
+        }
+        stream& entry = this->streams[request.matches[1]];
+        this->changed.wait_for(lock, wait, [&] { return entry.earliest + entry.records.size() > from; });
+        LogPage page;
+        page.set_first_offset(from);
+        page.set_earliest_offset(entry.earliest);
+        page.set_end_offset(entry.earliest + entry.records.size());
+        std::uint64_t size = 0;
+        for (std::uint64_t i = from; from >= entry.earliest && i < page.end_offset() && size < page_bytes; ++i) {
+            page.add_records(entry.records[i - entry.earliest]);
+            size += entry.records[i - entry.earliest].size();
+        }
+        answer.set_content(page.SerializeAsString(), "application/x-protobuf");
+        this->bytes_read += answer.body.size();
+    }
+
+    std::mutex mutex;
+    std::condition_variable changed;
+    std::map<std::string, stream> streams;
+    HostList hosts;
+    std::atomic<int> down = 0;
+    std::atomic<int> slow_ms = 0;
+    std::atomic<int> drop_answers = 0;
+    std::atomic<std::uint64_t> appends = 0;
+    std::atomic<std::uint64_t> bytes_read = 0;
+};
+
+} // namespace
+
+} // namespace wigeon
+
+int main(int argc, char** argv)
+{
+    wigeon::block_stop_signals();
+    wigeon::platform platform;
+    wigeon::http_server server(wigeon::threads);
+    platform.add_routes(server.routes());
+    server.start(argc > 1 ? argv[1] : "127.0.0.1:0");
+    wigeon::wait_for_stop_signal();
+    std::_Exit(0);
+}
--- /dev/null
+++ b/tests/stand_ins/workers.cpp
@@ -0,0 +1,243 @@
+// Stand-in for many workers in one process, each on a port of its own. Tasks run for their expected time, scaled
+// by the command: "run 2000" runs for 2000 ms, "fail" fails at once. GET /runs lists each task's run interval.
+// POST /control with worker and one of hang, fail_all, slow_checkpoint or restart sets a fault.
+// Usage: stand-in-workers HOST FIRST_PORT COUNT
+
+#include <atomic>
+#include <iostream>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <sstream>
+
+#include "base/network.h"
+#include "base/settings.h"
+#include "base/time.h"
+#include "wigeon.pb.h"
+
+namespace wigeon {
+
+namespace {
+
+using task_key = std::tuple<std::string, std::uint32_t, std::uint32_t>;
+
+struct task {
+    TaskState state = TASK_ABSENT;
+    std::uint64_t lease_until = 0;
+    std::uint64_t finish_at = 0;
+    std::uint64_t started_at = 0;
+    std::uint64_t ended_at = 0;
+    bool fails = false;
+};
+
+std::uint64_t read_clock()
+{
+    return static_cast<std::uint64_t>(
+        std::chrono::duration_cast<milliseconds>(read_steady_clock().time_since_epoch()).count());
+}
+
+class worker {
+public:
+    WorkerReports handle(const WorkerOrders& orders)
+    {
+        const std::lock_guard lock(this->mutex);
+        const std::uint64_t now = read_clock();
+        this->advance(now);
+        WorkerReports reports;
+        reports.set_worker(orders.worker());
+        reports.set_clock_ms(now);
+        reports.set_is_fenced(orders.term() < this->term);
+        this->term = std::max(this->term, orders.term());
+        reports.set_term(this->term);
+        const bool is_late = orders.not_after_ms() != 0 && now > orders.not_after_ms();
+        if (reports.is_fenced() || is_late)
+            return reports;
+        for (const TaskOrder& order : orders.orders()) {
+            const task_key key(order.job(), order.attempt(), order.task());
+            this->carry_out(order, key, now);
+            TaskReport& report = *reports.add_reports();
+            report.set_job(order.job());
+            report.set_attempt(order.attempt());
+            report.set_task(order.task());
+            const auto found = this->tasks.find(key);
+            report.set_state(found == this->tasks.end() ? TASK_ABSENT : found->second.state);
+        }
+        return reports;
+    }
+
+    void print_runs(std::ostream& out, const std::string& id)
+    {
+        const std::lock_guard lock(this->mutex);
+        const std::uint64_t now = read_clock();
+        this->advance(now);
+        const auto print = [&](const task_key& key, const task& entry) {
+            if (entry.started_at == 0)
+                return;
+            const std::uint64_t end = entry.state == TASK_RUNNING ? now : entry.ended_at;
+            out << std::get<0>(key) << ' ' << std::get<1>(key) << ' ' << std::get<2>(key) << ' ' << id << ' '
+                << entry.started_at << ' ' << end << ' ' << TaskState_Name(entry.state) << '\n';
+        };
+        for (const auto& [key, entry] : this->past)
+            print(key, entry);
+        for (const auto& [key, entry] : this->tasks)
+            print(key, entry);
+    }
+
+    std::atomic<bool> hangs = false;
+    std::atomic<bool> fails_all = false;
+    std::atomic<int> checkpoint_ms = 100;
+
+    void restart()
+    {
+        const std::lock_guard lock(this->mutex);
+        const std::uint64_t now = read_clock();
+        this->advance(now);
+        for (auto& [key, entry] : this->tasks)
+            this->end(entry, TASK_STOPPED, now);
+        this->forget_all();
+        this->term = 0;
+    }
+
+private:
+    void end(task& entry, TaskState state, std::uint64_t at)
+    {
+        if (entry.state == TASK_RUNNING)
+            entry.ended_at = at;
+        if (entry.state == TASK_RUNNING || entry.state == TASK_HELD)
+            entry.state = state;
+    }
+
+    void advance(std::uint64_t now)
+    {
+        for (auto& [key, entry] : this->tasks) {
+            const std::uint64_t finish = entry.state == TASK_RUNNING ? entry.finish_at : UINT64_MAX;
+            if (finish <= std::min(now, entry.lease_until))
+                this->end(entry, entry.fails ? TASK_FAILED : TASK_FINISHED, finish);
+            else if (entry.lease_until < now)
+                this->end(entry, TASK_STOPPED, entry.lease_until);
+        }
+    }
+
+    void forget_all()
+    {
+        this->past.insert(this->tasks.begin(), this->tasks.end());
+        this->tasks.clear();
+    }
+
+    void carry_out(const TaskOrder& order, const task_key& key, std::uint64_t now)
+    {
+        const auto found = this->tasks.find(key);
+        if (order.action() == TASK_HOLD) {
+            if (found == this->tasks.end() && !this->past.contains(key))
+                this->tasks[key] = {TASK_HELD, now + order.lease_ms(), 0, 0, 0, false};
+            return;
+        }
+        if (found == this->tasks.end())
+            return;
+        task& entry = found->second;
+        switch (order.action()) {
+        case TASK_RELEASE:
+            if (entry.state == TASK_HELD)
+                this->begin(entry, order, now);
+            break;
+        case TASK_RENEW:
+            if (entry.state == TASK_RUNNING)
+                entry.lease_until = now + order.lease_ms();
+            break;
+        case TASK_CHECKPOINT:
+            if (entry.state == TASK_RUNNING)
+                entry.lease_until = std::min(entry.lease_until, now + static_cast<std::uint64_t>(this->checkpoint_ms));
+            break;
+        case TASK_STOP:
+            this->end(entry, TASK_STOPPED, now);
+            break;
+        case TASK_FORGET:
+            this->end(entry, TASK_STOPPED, now);
+            this->past.insert(*found);
+            this->tasks.erase(found);
+            break;
+        default:
+            break;
+        }
+    }
+
+    void begin(task& entry, const TaskOrder& order, std::uint64_t now)
+    {
+        std::uint64_t run_ms = order.expected_run_ms();
+        if (order.command().starts_with("run "))
+            run_ms = std::stoull(order.command().substr(4));
+        entry.fails = this->fails_all || order.command() == "fail";
+        entry.state = TASK_RUNNING;
+        entry.started_at = now;
+        entry.finish_at = now + (entry.fails ? 20 : run_ms);
+        entry.lease_until = now + order.lease_ms();
+    }
+
+    std::mutex mutex;
+    std::uint64_t term = 0;
+    std::map<task_key, task> tasks;
+    std::map<task_key, task> past;      // Forgotten tasks, kept for /runs.
+};
+
+constexpr std::size_t server_threads = 16;
+constexpr milliseconds hang_time{30'000};
+
+std::string find_id(int index)
+{
+    return "w" + std::to_string(index);
+}
+
+} // namespace
+
+} // namespace wigeon
+
+int main(int argc, char** argv)
+{
+    using namespace wigeon;
+    block_stop_signals();
+    if (argc != 4) {
+        std::cerr << "usage: stand-in-workers HOST FIRST_PORT COUNT\n";
+        return usage_exit_code;
+    }
+    const int first_port = std::stoi(argv[2]);
+    const int count = std::stoi(argv[3]);
+    std::vector<std::unique_ptr<worker>> workers;
+    std::vector<std::unique_ptr<http_server>> servers;
+    for (int i = 0; i < count; ++i) {
+        worker& own = *workers.emplace_back(std::make_unique<worker>());
+        http_server& server = *servers.emplace_back(std::make_unique<http_server>(server_threads));
+        server.routes().set_keep_alive_max_count(1'000'000);
+        server.routes().set_keep_alive_timeout(3600);
+        server.routes().Post("/orders", [&own](const auto& request, auto& answer) {
+            if (own.hangs)
+                std::this_thread::sleep_for(hang_time);
+            WorkerOrders orders;
+            orders.ParseFromString(request.body);
+            answer.set_content(own.handle(orders).SerializeAsString(), "application/x-protobuf");
+        });
+    }
+    // The control port comes after those of the workers.
+    http_server control(4);
+    control.routes().Get("/runs", [&](const auto&, auto& answer) {
+        std::ostringstream out;
+        for (int i = 0; i < count; ++i)
+            workers[static_cast<std::size_t>(i)]->print_runs(out, find_id(i));
+        answer.set_content(out.str(), "text/plain");
+    });
+    control.routes().Post("/control", [&](const auto& request, auto&) {
+        worker& chosen = *workers.at(std::stoul(request.get_param_value("worker")));
+        if (request.has_param("hang"))
+            chosen.hangs = request.get_param_value("hang") == "1";
+        if (request.has_param("fail_all"))
+            chosen.fails_all = request.get_param_value("fail_all") == "1";
+        if (request.has_param("checkpoint_ms"))
+            chosen.checkpoint_ms = std::stoi(request.get_param_value("checkpoint_ms"));
+        if (request.has_param("restart"))
+            chosen.restart();
+    });
+    for (int i = 0; i < count; ++i)
+        servers[static_cast<std::size_t>(i)]->start(std::string(argv[1]) + ":" + std::to_string(first_port + i));
+    control.start(std::string(argv[1]) + ":" + std::to_string(first_port + count));
+    wait_for_stop_signal();
+    std::_Exit(0);
+}
