--- a/libraries/base/bounded_ring.h
+++ b/libraries/base/bounded_ring.h
@@ -86,8 +86,8 @@
     std::condition_variable drained;
     std::vector<Item> slots;
     std::size_t head = 0;
-    std::size_t count = 0;    // At most slots.size().
-    bool closed = false;      // Never reopened.
+    std::size_t count = 0; // At most slots.size().
+    bool closed = false;   // Never reopened.
 };
 
 } // namespace wigeon
--- a/libraries/base/error_kind.h
+++ b/libraries/base/error_kind.h
@@ -51,11 +51,11 @@
 struct error_answer {
     error_kind kind;
     std::string_view name;
-    int status;                      // HTTP status.
+    int status; // HTTP status.
     std::string_view text;
     execution ran;
     bool is_retryable;
-    std::uint32_t retry_after_ms;    // When to come again; 0 unless retryable.
+    std::uint32_t retry_after_ms; // When to come again; 0 unless retryable.
 };
 
 const error_answer& find_answer(error_kind kind);
--- a/libraries/base/network.cpp
+++ b/libraries/base/network.cpp
@@ -100,9 +100,8 @@
     server.Get("/metrics", [](const httplib::Request&, httplib::Response& answer) {
         answer.set_content(process_metrics().format(), "text/plain; version=0.0.4");
     });
-    server.Get("/healthz", [](const httplib::Request&, httplib::Response& answer) {
-        answer.set_content("ok\n", "text/plain");
-    });
+    server.Get("/healthz",
+               [](const httplib::Request&, httplib::Response& answer) { answer.set_content("ok\n", "text/plain"); });
     server.Get("/readyz", [is_ready = std::move(is_ready)](const httplib::Request&, httplib::Response& answer) {
         const bool ready = is_ready();
         answer.status = ready ? 200 : 503;
--- a/libraries/base/settings.h
+++ b/libraries/base/settings.h
@@ -1,5 +1,6 @@
 // Settings of a program, described by the options of its protobuf message. Each field becomes a flag
-// `--name` and an environment variable `WIGEON_NAME`; the flag wins over the variable, and the variable over the default.
+// `--name` and an environment variable `WIGEON_NAME`; the flag wins over the variable, and the variable over the
+// default.
 
 #pragma once
 
--- a/libraries/entry/caller_api.cpp
+++ b/libraries/entry/caller_api.cpp
@@ -33,8 +33,8 @@
     const auto parsed = std::from_chars(text.data(), text.data() + text.size(), number);
     const bool is_whole = parsed.ec == std::errc() && parsed.ptr == text.data() + text.size();
     if (!is_whole || number < lowest || number > highest)
-        throw error(error_kind::malformed_request, std::string(header) + ": not a number in " +
-                                                       std::to_string(lowest) + " to " + std::to_string(highest));
+        throw error(error_kind::malformed_request, std::string(header) + ": not a number in " + std::to_string(lowest) +
+                                                       " to " + std::to_string(highest));
     return number;
 }
 
@@ -60,11 +60,10 @@
 std::string read_key(const httplib::Request& request)
 {
     std::string key = request.get_header_value("Idempotency-Key");
-    const bool is_printable =
-        std::all_of(key.begin(), key.end(), [](unsigned char c) { return c > 0x20 && c < 0x7F; });
+    const bool is_printable = std::all_of(key.begin(), key.end(), [](unsigned char c) { return c > 0x20 && c < 0x7F; });
     if (key.size() > key_limit || !is_printable)
-        throw error(error_kind::malformed_request, "Idempotency-Key: longer than " + std::to_string(key_limit) +
-                                                       " bytes or not printable");
+        throw error(error_kind::malformed_request,
+                    "Idempotency-Key: longer than " + std::to_string(key_limit) + " bytes or not printable");
     return key;
 }
 
@@ -153,8 +152,8 @@
     const std::string expected = this->state.read([&](const replicated_state& current) {
         const Account* account = find_account(current.configuration(), account_name);
         if (account == nullptr)
-            throw error(error_kind::unknown_account, "account: '" + std::string(account_name.substr(0, name_limit)) +
-                                                         "' is not configured");
+            throw error(error_kind::unknown_account,
+                        "account: '" + std::string(account_name.substr(0, name_limit)) + "' is not configured");
         return account->token_sha256();
     });
     if (!expected.empty() && hash_token(request.get_header_value("Wigeon-Token")) != expected)
@@ -169,8 +168,8 @@
     this->check_caller(request, forwarded.account);
     forwarded.key = read_key(request);
     forwarded.first_sent_ms = read_number(request, "Wigeon-First-Sent-Ms", 0, 1, UINT64_MAX / 2);
-    forwarded.time_limit = milliseconds(read_number(request, "Wigeon-Deadline-Ms",
-                                                    this->settings.default_deadline_ms(), 1, longest_deadline_ms));
+    forwarded.time_limit = milliseconds(
+        read_number(request, "Wigeon-Deadline-Ms", this->settings.default_deadline_ms(), 1, longest_deadline_ms));
     executor_request& sent = forwarded.forwarded;
     sent.is_idempotent = read_flag(request, "Wigeon-Idempotent");
     sent.path = request.matches.size() > 1 && request.matches[1].length() > 0 ? request.matches[1].str() : "/";
@@ -199,8 +198,7 @@
     const std::string header_key = read_key(request);
     if (job.key().empty())
         job.set_key(header_key.empty() ? format_incarnation(draw_incarnation()) : header_key);
-    this->state.read(
-        [&job](const replicated_state& current) { check_job_request(current.configuration(), job); });
+    this->state.read([&job](const replicated_state& current) { check_job_request(current.configuration(), job); });
     const std::string id = make_job_id(job);
     const apply_result result = this->state.submit(std::move(record), read_steady_clock() + job_append_limit);
     if (result.outcome != apply_outcome::applied)
--- a/libraries/entry/request_service.cpp
+++ b/libraries/entry/request_service.cpp
@@ -164,13 +164,13 @@
 }
 
 request_service::attempt_result request_service::try_once(const caller_request& request,
-                                                          const admission_request& admitted, steady_time deadline)
+                                                          const admission_request& admitted, milliseconds freshness,
+                                                          steady_time deadline)
 {
     const Executor executor = this->gate.enter(admitted);
     const steady_time begin = read_steady_clock();
     const bool is_idempotent = request.forwarded.is_idempotent;
-    executor_connection connection =
-        this->pool.take(executor.address(), is_idempotent ? usual_freshness : strict_freshness, begin);
+    executor_connection connection = this->pool.take(executor.address(), freshness, begin);
     const milliseconds patience =
         is_idempotent ? milliseconds(this->settings.suspect_after_ms()) : elapsed_ms(begin, deadline);
     attempt_result result{exchange(connection, request.forwarded, patience, deadline), executor.id()};
@@ -178,6 +178,8 @@
     const double duration_ms = std::chrono::duration<double, std::milli>(end - begin).count();
     this->gate.leave(admitted, executor.id(), result.answer.outcome, duration_ms);
     process_metrics().observe_ms("wigeon_exchange_ms", duration_ms);
+    if (!connection.is_new && result.answer.is_timeout)
+        process_metrics().count("wigeon_silent_kept_connections_total");
     const bool is_whole = result.answer.status != 0;
     if (is_whole)
         this->pool.give_back(std::move(connection), end);
@@ -205,8 +207,9 @@
 executor_answer request_service::run(const caller_request& request, steady_time deadline)
 {
     admission_request admitted = this->make_admission(request, deadline);
+    milliseconds freshness = request.forwarded.is_idempotent ? usual_freshness : strict_freshness;
     for (int attempt = 1;; ++attempt) {
-        attempt_result result = this->try_once(request, admitted, deadline);
+        attempt_result result = this->try_once(request, admitted, freshness, deadline);
         const bool is_last = attempt == attempt_limit || !this->may_retry(request, result.answer, deadline);
         const bool is_whole = result.answer.status != 0 && result.answer.ran == execution::ran;
         if (is_whole)
@@ -214,7 +217,11 @@
         if (is_last)
             fail(result.answer, deadline);
         count_retry(name_outcome(result.answer));
-        admitted.excluded.insert(result.executor);
+        // Silence is the connection's fault as often as the executor's; a new connection tells the two apart.
+        if (result.answer.outcome == exchange_outcome::overdue)
+            freshness = milliseconds(0);
+        else
+            admitted.excluded.insert(result.executor);
         std::this_thread::sleep_for(draw_backoff());
     }
 }
--- a/libraries/entry/request_service.h
+++ b/libraries/entry/request_service.h
@@ -20,8 +20,8 @@
 struct caller_request {
     std::string account;
     std::string job_class;
-    std::string key;                          // Empty: none.
-    std::uint64_t first_sent_ms = 0;          // When the caller first sent the key; 0: not told.
+    std::string key;                 // Empty: none.
+    std::uint64_t first_sent_ms = 0; // When the caller first sent the key; 0: not told.
     milliseconds time_limit{0};
     executor_request forwarded;
 };
@@ -48,7 +48,9 @@
     void note_key(const caller_request& request, KeyOutcome outcome, int status);
     [[noreturn]] void refuse_key(const caller_request& request) const;
     executor_answer run(const caller_request& request, steady_time deadline);
-    attempt_result try_once(const caller_request& request, const admission_request& admitted, steady_time deadline);
+    // Uses a kept connection only if it answered within `freshness`.
+    attempt_result try_once(const caller_request& request, const admission_request& admitted, milliseconds freshness,
+                            steady_time deadline);
     bool may_retry(const caller_request& request, const executor_answer& answer, steady_time deadline);
     [[noreturn]] static void fail(const executor_answer& answer, steady_time deadline);
 
@@ -58,7 +60,7 @@
     connection_pool& pool;
     std::function<bool(std::uint64_t)> is_alive;
     std::mutex budget_mutex;
-    retry_budget budget;                    // Guarded by budget_mutex.
+    retry_budget budget; // Guarded by budget_mutex.
     std::atomic<std::uint32_t> active = 0;
 };
 
--- a/libraries/membership/member_table.cpp
+++ b/libraries/membership/member_table.cpp
@@ -23,8 +23,7 @@
 
 std::size_t member_table::expire(steady_time now)
 {
-    return std::erase_if(this->members,
-                         [&](const auto& entry) { return now - entry.second.heard_at > this->timeout; });
+    return std::erase_if(this->members, [&](const auto& entry) { return now - entry.second.heard_at > this->timeout; });
 }
 
 std::vector<member> member_table::list_live(std::string_view role) const
--- a/libraries/membership/member_table.h
+++ b/libraries/membership/member_table.h
@@ -45,7 +45,7 @@
     static constexpr std::size_t member_limit = 1024;
 
     milliseconds timeout;
-    std::map<std::uint64_t, member> members;    // By incarnation.
+    std::map<std::uint64_t, member> members; // By incarnation.
     std::map<std::string, std::size_t, std::less<>> largest;
     std::uint64_t highest_version = 0;
 };
--- a/libraries/membership/peer_gossip.cpp
+++ b/libraries/membership/peer_gossip.cpp
@@ -179,10 +179,9 @@
         nng_socket_set_ms(socket, NNG_OPT_RECVTIMEO, state_limit_ms);
         nng_socket_set_size(socket, NNG_OPT_RECVMAXSZ, state_size_limit);
         nng_msg* message = nullptr;
-        const bool is_answered =
-            nng_dial(socket, find_state_url(peer).c_str(), nullptr, NNG_FLAG_NONBLOCK) == 0 &&
-            nng_send(socket, const_cast<char*>(serialized.data()), serialized.size(), 0) == 0 &&
-            nng_recvmsg(socket, &message, 0) == 0;
+        const bool is_answered = nng_dial(socket, find_state_url(peer).c_str(), nullptr, NNG_FLAG_NONBLOCK) == 0 &&
+                                 nng_send(socket, const_cast<char*>(serialized.data()), serialized.size(), 0) == 0 &&
+                                 nng_recvmsg(socket, &message, 0) == 0;
         if (is_answered) {
             StateAnswer answer;
             if (answer.ParseFromArray(nng_msg_body(message), static_cast<int>(nng_msg_len(message))) &&
@@ -227,8 +226,7 @@
 
 bool peer_gossip::is_current() const
 {
-    const std::uint64_t own =
-        this->state.read([](const replicated_state& s) { return s.configuration().version(); });
+    const std::uint64_t own = this->state.read([](const replicated_state& s) { return s.configuration().version(); });
     return own >= this->newest_version();
 }
 
--- a/libraries/membership/peer_gossip.h
+++ b/libraries/membership/peer_gossip.h
@@ -57,7 +57,7 @@
     std::function<std::uint32_t()> read_demand;
 
     mutable std::mutex mutex;
-    member_table members;          // Guarded by mutex.
+    member_table members; // Guarded by mutex.
 
     std::atomic<bool> leaving = false;
     std::atomic<bool> stopping = false;
--- a/libraries/placement/fleet_view.h
+++ b/libraries/placement/fleet_view.h
@@ -21,17 +21,17 @@
 
 struct worker_room {
     std::uint32_t capacity = 0;
-    std::uint32_t used = 0;               // Accelerators of all jobs on the worker, those being stopped included.
-    std::uint32_t stopping = 0;           // Part of `used` that becomes free without a further decision.
-    std::uint32_t covered = 0;            // Part of `used` that is inside a guarantee.
-    std::uint32_t reserved = 0;           // Sum of all accounts' bound accelerators; at most the capacity.
-    std::uint32_t held = 0;               // Free or soon free accelerators promised to a job in this round.
+    std::uint32_t used = 0;     // Accelerators of all jobs on the worker, those being stopped included.
+    std::uint32_t stopping = 0; // Part of `used` that becomes free without a further decision.
+    std::uint32_t covered = 0;  // Part of `used` that is inside a guarantee.
+    std::uint32_t reserved = 0; // Sum of all accounts' bound accelerators; at most the capacity.
+    std::uint32_t held = 0;     // Free or soon free accelerators promised to a job in this round.
     bool is_usable = false;
 
     [[nodiscard]] std::uint32_t free() const
     {
         return this->is_usable && this->capacity > this->used + this->held ? this->capacity - this->used - this->held
-                                                                         : 0;
+                                                                           : 0;
     }
 };
 
@@ -39,7 +39,7 @@
 struct placed_job {
     const Job* job = nullptr;
     std::vector<task_choice> tasks;
-    bool is_covered = false;              // Runs wholly inside its account's guarantee.
+    bool is_covered = false; // Runs wholly inside its account's guarantee.
 };
 
 class fleet_view {
@@ -83,7 +83,7 @@
     std::map<std::string, std::vector<std::uint32_t>, std::less<>> unused_of_account;
     std::map<std::string, std::uint32_t, std::less<>> borrowed_of_account;
     std::vector<placed_job> placed_jobs;
-    std::vector<std::uint32_t> nothing;   // Zero for each worker.
+    std::vector<std::uint32_t> nothing; // Zero for each worker.
 };
 
 } // namespace wigeon
--- a/libraries/placement/guarantee_binding.cpp
+++ b/libraries/placement/guarantee_binding.cpp
@@ -13,7 +13,7 @@
 
 struct block_room {
     const Worker* worker = nullptr;
-    std::uint32_t unbound = 0;      // Accelerators in no account's cell.
+    std::uint32_t unbound = 0; // Accelerators in no account's cell.
 };
 
 // The unbound accelerators of the usable workers, grouped by rack and by zone.
--- a/libraries/placement/placement_policy.cpp
+++ b/libraries/placement/placement_policy.cpp
@@ -70,8 +70,8 @@
     for (const std::size_t worker : workers) {
         if (gang.needed[worker] == 0)
             continue;
-        for (std::uint32_t room = available[worker];
-             room >= gang.needed[worker] && choices.size() < gang.tasks; room -= gang.needed[worker])
+        for (std::uint32_t room = available[worker]; room >= gang.needed[worker] && choices.size() < gang.tasks;
+             room -= gang.needed[worker])
             choices.push_back({worker, gang.needed[worker]});
     }
     return choices;
@@ -157,8 +157,8 @@
         return std::make_unique<best_fit>();
     if (name == "nested_cells")
         return std::make_unique<nested_cells>();
-    throw error(error_kind::malformed_request, "placement_policy: '" + std::string(name) +
-                                                   "' is not one of first_fit, best_fit, nested_cells");
+    throw error(error_kind::malformed_request,
+                "placement_policy: '" + std::string(name) + "' is not one of first_fit, best_fit, nested_cells");
 }
 
 } // namespace wigeon
--- a/libraries/placement/placement_policy.h
+++ b/libraries/placement/placement_policy.h
@@ -18,7 +18,7 @@
 struct worker_place {
     const Worker* worker = nullptr;
     std::uint32_t zone = 0;
-    std::uint32_t rack = 0;     // Unique over all zones.
+    std::uint32_t rack = 0; // Unique over all zones.
 };
 
 struct index_range {
@@ -37,11 +37,11 @@
 struct gang_shape {
     std::uint32_t tasks = 0;
     Adjacency adjacency = ADJACENCY_ANY;
-    std::span<const std::uint32_t> needed;    // Accelerators per task on each worker; 0 where it cannot run.
+    std::span<const std::uint32_t> needed; // Accelerators per task on each worker; 0 where it cannot run.
 };
 
 struct task_choice {
-    std::size_t worker = 0;                   // Index into the layout.
+    std::size_t worker = 0; // Index into the layout.
     std::uint32_t accelerators = 0;
 };
 
@@ -50,9 +50,8 @@
     virtual ~placement_policy() = default;
 
     // One choice per task, or nothing when the gang does not fit whole. `available` gives accelerators per worker.
-    [[nodiscard]] virtual std::optional<std::vector<task_choice>> choose(const fleet_layout& layout,
-                                                                         std::span<const std::uint32_t> available,
-                                                                         const gang_shape& gang) const = 0;
+    [[nodiscard]] virtual std::optional<std::vector<task_choice>>
+    choose(const fleet_layout& layout, std::span<const std::uint32_t> available, const gang_shape& gang) const = 0;
 };
 
 // "first_fit", "best_fit" or "nested_cells". Throws error(malformed_request) for another name.
--- a/libraries/placement/planner.cpp
+++ b/libraries/placement/planner.cpp
@@ -27,12 +27,9 @@
 
 shape_key make_shape_key(const JobRequest& request, bool is_urgent)
 {
-    return {request.account(),
-            is_urgent,
-            request.tasks(),
-            request.accelerators_per_task(),
-            request.cores_per_task(),
-            request.memory_gigabytes_per_task(),
+    return {request.account(),        is_urgent,
+            request.tasks(),          request.accelerators_per_task(),
+            request.cores_per_task(), request.memory_gigabytes_per_task(),
             request.adjacency()};
 }
 
@@ -190,8 +187,8 @@
     {
         this->view.hold(tasks);
         this->result.wait_reasons[job.id()] = "waits until borrowers have stopped on " +
-                                              this->view.layout().places[tasks.front().worker].worker->id() +
-                                              " and " + std::to_string(tasks.size() - 1) + " further places";
+                                              this->view.layout().places[tasks.front().worker].worker->id() + " and " +
+                                              std::to_string(tasks.size() - 1) + " further places";
     }
 
     // Stops borrowers on the chosen workers until the tasks fit, those first that lose the least work.
@@ -373,7 +370,7 @@
     const std::uint64_t now_ms;
     plan& result;
     std::set<shape_key> failed_shapes;
-    std::set<std::string> stopped;      // Jobs that this round stops.
+    std::set<std::string> stopped; // Jobs that this round stops.
 };
 
 } // namespace
--- a/libraries/placement/planner.h
+++ b/libraries/placement/planner.h
@@ -17,7 +17,7 @@
 
 struct plan {
     std::vector<Decision> decisions;
-    std::map<std::string, std::string> wait_reasons;    // By job id, for the jobs that go on waiting.
+    std::map<std::string, std::string> wait_reasons; // By job id, for the jobs that go on waiting.
 };
 
 struct planner_options {
--- a/libraries/platform/http_log_service.cpp
+++ b/libraries/platform/http_log_service.cpp
@@ -26,8 +26,8 @@
         for (const std::string& record : records)
             batch.add_records(record);
         this->client.set_read_timeout(this->timeout);
-        const auto answer = this->client.Post("/streams/" + std::string(stream), batch.SerializeAsString(),
-                                              "application/x-protobuf");
+        const auto answer =
+            this->client.Post("/streams/" + std::string(stream), batch.SerializeAsString(), "application/x-protobuf");
         AppendAnswer appended;
         this->parse(answer, appended);
         return appended.first_offset();
--- a/libraries/replica/replica.cpp
+++ b/libraries/replica/replica.cpp
@@ -10,7 +10,8 @@
 
 namespace {
 
-constexpr milliseconds tail_wait{1000};
+// Short against the lease of the term: a standby must know that the log answers while it says nothing new.
+constexpr milliseconds tail_wait{400};
 constexpr milliseconds pause_after_failure{100};
 constexpr milliseconds ring_wait{200};
 constexpr std::size_t batch_limit = 256;
@@ -144,8 +145,8 @@
         return true;
     }
     count_refusal("state_gap");
-    log_change("state_gap", {{"next_offset", std::to_string(own)},
-                             {"earliest_offset", std::to_string(bounds.earliest_offset())}});
+    log_change("state_gap",
+               {{"next_offset", std::to_string(own)}, {"earliest_offset", std::to_string(bounds.earliest_offset())}});
     return false;
 }
 
@@ -300,6 +301,15 @@
     });
 }
 
+// An append whose answer was lost may have been read back meanwhile.
+void replica::drop_settled(std::vector<pending_pointer>& batch)
+{
+    const std::lock_guard lock(this->unread_mutex);
+    std::erase_if(batch, [this](const pending_pointer& pending) {
+        return pending->is_sent && !this->unread.contains(pending->record.sequence());
+    });
+}
+
 bool replica::append_batch(log_service& log, std::vector<pending_pointer>& batch)
 {
     std::vector<std::string> records;
@@ -342,6 +352,7 @@
             if (this->stopping)
                 return;
             std::this_thread::sleep_for(pause_after_failure);
+            this->drop_settled(batch);
             this->drop_expired(batch);
         }
     }
--- a/libraries/replica/replica.h
+++ b/libraries/replica/replica.h
@@ -81,8 +81,8 @@
         Record record;
         steady_time deadline;
         std::promise<apply_result> outcome;
-        bool is_sent = false;      // An attempt left this process, so that the record may be in the log.
-        bool is_void = false;      // The record was replaced by a void one of the same sequence.
+        bool is_sent = false; // An attempt left this process, so that the record may be in the log.
+        bool is_void = false; // The record was replaced by a void one of the same sequence.
     };
     using pending_pointer = std::shared_ptr<pending_append>;
 
@@ -93,6 +93,7 @@
     void run_appender();
     std::vector<pending_pointer> gather();
     bool append_batch(log_service& log, std::vector<pending_pointer>& batch);
+    void drop_settled(std::vector<pending_pointer>& batch);
     void drop_expired(std::vector<pending_pointer>& batch);
     void expire_unread();
     void note_change();
@@ -102,19 +103,19 @@
     std::function<StateAnswer(std::uint64_t)> ask_peers;
 
     mutable std::shared_mutex state_mutex;
-    replicated_state state;                                    // Guarded by state_mutex.
+    replicated_state state; // Guarded by state_mutex.
 
     mutable std::mutex change_mutex;
     mutable std::condition_variable changed;
-    std::uint64_t changes = 0;                                 // Guarded by change_mutex.
-    steady_time log_answer{};                                  // Guarded by change_mutex.
+    std::uint64_t changes = 0; // Guarded by change_mutex.
+    steady_time log_answer{};  // Guarded by change_mutex.
 
     static constexpr std::size_t ring_capacity = 4096;
     bounded_ring<pending_pointer> appends{ring_capacity};
     std::mutex unread_mutex;
-    std::map<std::uint64_t, pending_pointer> unread;           // By sequence: appended, but not read back yet.
-    std::uint64_t ready_offset = 0;                            // Owned by the tailing thread.
-    std::uint64_t last_sequence = 0;                           // Owned by the appending thread.
+    std::map<std::uint64_t, pending_pointer> unread; // By sequence: appended, but not read back yet.
+    std::uint64_t ready_offset = 0;                  // Owned by the tailing thread.
+    std::uint64_t last_sequence = 0;                 // Owned by the appending thread.
 
     std::atomic<bool> ready = false;
     std::atomic<bool> stopping = false;
--- a/libraries/routing/admission.h
+++ b/libraries/routing/admission.h
@@ -19,7 +19,7 @@
     std::string account;
     std::string job_class;
     queue_weights weights;
-    std::set<std::string> excluded;      // Executors that refused this request before.
+    std::set<std::string> excluded; // Executors that refused this request before.
     steady_time deadline{};
 };
 
@@ -57,9 +57,9 @@
     void dispatch(steady_time now);
 
     mutable std::mutex mutex;
-    fair_queue queue;                                // Guarded by mutex, as all below.
+    fair_queue queue; // Guarded by mutex, as all below.
     executor_table table;
-    std::map<std::uint64_t, waiter*> waiters;        // By ticket id, for the queued tickets.
+    std::map<std::uint64_t, waiter*> waiters; // By ticket id, for the queued tickets.
     std::uint64_t last_id = 0;
 };
 
--- a/libraries/routing/connection_pool.cpp
+++ b/libraries/routing/connection_pool.cpp
@@ -95,6 +95,7 @@
             continue;
         }
         process_metrics().count("wigeon_probe_failures_total");
+        process_metrics().count("wigeon_connections_retired_total");
         const steady_time now = read_steady_clock();
         executor_connection fresh = this->connect(connection.address, now);
         if (is_alive(fresh, limit)) {
--- a/libraries/routing/connection_pool.h
+++ b/libraries/routing/connection_pool.h
@@ -21,8 +21,8 @@
     std::unique_ptr<httplib::Client> client;
     std::string address;
     steady_time created_at{};
-    steady_time answered_at{};      // When it last carried a whole answer.
-    bool is_new = true;             // Carried nothing yet.
+    steady_time answered_at{}; // When it last carried a whole answer.
+    bool is_new = true;        // Carried nothing yet.
 };
 
 class connection_pool {
@@ -43,14 +43,14 @@
     void probe_idle(milliseconds limit);
 
 private:
-    static constexpr std::size_t idle_limit = 16;      // Per address.
+    static constexpr std::size_t idle_limit = 16; // Per address.
 
     executor_connection connect(const std::string& address, steady_time now) const;
 
     const milliseconds connect_timeout;
     std::mutex mutex;
-    std::map<std::string, std::vector<executor_connection>> idle;      // Guarded by mutex; newest answer last.
-    std::map<std::string, steady_time> retired_before;                 // Guarded by mutex.
+    std::map<std::string, std::vector<executor_connection>> idle; // Guarded by mutex; newest answer last.
+    std::map<std::string, steady_time> retired_before;            // Guarded by mutex.
 };
 
 } // namespace wigeon
--- a/libraries/routing/executor_exchange.cpp
+++ b/libraries/routing/executor_exchange.cpp
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr int service_unavailable = 503;
+// The library's timers may end this much early.
+constexpr milliseconds timer_slack{5};
 // With this header, an executor proves that it did not run the request that it refused.
 constexpr const char* execution_header = "Wigeon-Execution";
 
@@ -30,6 +32,7 @@
     sent.path = request.path;
     sent.body = request.body;
     sent.set_header("Content-Type", request.content_type);
+    sent.set_header("Accept-Encoding", "identity");
     sent.set_header("Wigeon-Request-Id", request.request_id);
     bool is_overdue = false;
     sent.content_receiver = [&](const char* data, std::size_t size, std::uint64_t, std::uint64_t) {
@@ -46,7 +49,9 @@
     const httplib::Result answer = connection.client->send(sent);
     if (!answer) {
         result.body.clear();
-        result.is_timeout = is_overdue || read_steady_clock() - begin >= std::min(first_byte_limit, left);
+        result.is_timeout = is_overdue || read_steady_clock() - begin + timer_slack >= std::min(first_byte_limit, left);
+        if (result.is_timeout)
+            result.outcome = exchange_outcome::overdue;
         if (answer.error() == httplib::Error::Connection) {
             result.outcome = exchange_outcome::unreachable;
             result.ran = execution::did_not_run;
--- a/libraries/routing/executor_exchange.h
+++ b/libraries/routing/executor_exchange.h
@@ -16,7 +16,7 @@
     std::string path;
     std::string body;
     std::string content_type;
-    std::string request_id;         // Passed on, so that an executor can tell requests apart.
+    std::string request_id; // Passed on, so that an executor can tell requests apart.
     bool is_idempotent = false;
     std::size_t answer_limit = std::size_t{64} << 20U;
 };
--- a/libraries/routing/executor_table.cpp
+++ b/libraries/routing/executor_table.cpp
@@ -16,6 +16,8 @@
 constexpr milliseconds refusal_pause{250};
 constexpr milliseconds first_ejection{500};
 constexpr std::uint32_t longest_ejection_doublings = 4;
+// Callers choose their time limits, so that one missed limit says little of the executor.
+constexpr std::uint32_t overdue_limit = 3;
 constexpr double smoothing = 0.1;
 // An executor that fails most of its answers is set aside while most of the others are sound.
 constexpr double failing_rate = 0.6;
@@ -130,8 +132,8 @@
 
 bool executor_table::is_open(const executor_state& state, steady_time now) const
 {
-    return !state.is_listed_leaving && !state.executor.is_draining() && state.in_flight < state.slot_share && now >= state.refused_until &&
-           now >= state.ejected_until;
+    return !state.is_listed_leaving && !state.executor.is_draining() && state.in_flight < state.slot_share &&
+           now >= state.refused_until && now >= state.ejected_until;
 }
 
 bool executor_table::has_room(steady_time now) const
@@ -158,8 +160,19 @@
     return chosen;
 }
 
-void executor_table::eject(executor_state& state, steady_time now)
+// When most executors seem to fail, the cause is elsewhere, and setting them aside would turn it into an outage.
+// Only the lack of a connection is evidence enough to go beyond half of them, and never to the last one.
+bool executor_table::may_eject(bool is_unreachable, steady_time now) const
 {
+    const auto open = static_cast<std::size_t>(std::count_if(
+        this->states.begin(), this->states.end(), [now](const executor_state& s) { return now >= s.ejected_until; }));
+    return is_unreachable ? open > 1 : (open - std::min<std::size_t>(open, 1)) * 2 >= this->states.size();
+}
+
+void executor_table::eject(executor_state& state, bool is_unreachable, steady_time now)
+{
+    if (!this->may_eject(is_unreachable, now))
+        return;
     const std::uint32_t doublings = std::min(state.failures_in_row, longest_ejection_doublings);
     state.ejected_until = now + first_ejection * (1U << doublings);
 }
@@ -167,9 +180,8 @@
 void executor_table::give_back(const std::string& executor, exchange_outcome outcome, double duration_ms,
                                steady_time now)
 {
-    const auto found = std::find_if(this->states.begin(), this->states.end(), [&](const executor_state& state) {
-        return state.executor.id() == executor;
-    });
+    const auto found = std::find_if(this->states.begin(), this->states.end(),
+                                    [&](const executor_state& state) { return state.executor.id() == executor; });
     if (found == this->states.end())
         return;
     executor_state& state = *found;
@@ -180,9 +192,13 @@
         return;
     case exchange_outcome::unreachable:
     case exchange_outcome::broken:
-        this->eject(state, now);
+        this->eject(state, outcome == exchange_outcome::unreachable, now);
         ++state.failures_in_row;
         return;
+    case exchange_outcome::overdue:
+        if (++state.failures_in_row >= overdue_limit)
+            this->eject(state, false, now);
+        return;
     case exchange_outcome::answered:
     case exchange_outcome::failed_answer:
         break;
@@ -197,7 +213,7 @@
                                      [](const executor_state& other) { return other.failure_rate < sound_rate; });
     if (static_cast<std::size_t>(sound) * 2 <= this->states.size())
         return;
-    this->eject(state, now);
+    this->eject(state, false, now);
     // It comes back on trial: one more failure sets it aside again, a few good answers clear it.
     state.failure_rate = failing_rate - smoothing;
 }
--- a/libraries/routing/executor_table.h
+++ b/libraries/routing/executor_table.h
@@ -20,11 +20,12 @@
 namespace wigeon {
 
 enum class exchange_outcome : std::uint8_t {
-    answered,         // A whole answer, below status 500.
-    failed_answer,    // A whole answer of status 500 or above.
-    refused,          // The executor said that it did not run the request.
-    unreachable,      // No connection.
-    broken,           // The exchange broke off or timed out.
+    answered,      // A whole answer, below status 500.
+    failed_answer, // A whole answer of status 500 or above.
+    refused,       // The executor said that it did not run the request.
+    unreachable,   // No connection.
+    broken,        // The exchange broke off.
+    overdue,       // No whole answer in the time that the caller allowed.
 };
 
 struct executor_state {
@@ -32,11 +33,11 @@
     std::uint32_t slot_share = 0;
     std::uint32_t in_flight = 0;
     bool is_listed_leaving = false;
-    steady_time refused_until{};          // By the executor's own word.
-    steady_time ejected_until{};          // Because connections or answers failed.
+    steady_time refused_until{}; // By the executor's own word.
+    steady_time ejected_until{}; // Because connections or answers failed.
     std::uint32_t failures_in_row = 0;
-    double failure_rate = 0;              // Smoothed share of answers of status 500 or above.
-    double mean_ms = 0;                   // Smoothed time of an exchange.
+    double failure_rate = 0; // Smoothed share of answers of status 500 or above.
+    double mean_ms = 0;      // Smoothed time of an exchange.
 };
 
 // Chooses among the candidates; indices into the table.
@@ -80,7 +81,8 @@
 private:
     [[nodiscard]] bool is_open(const executor_state& state, steady_time now) const;
     void set_share(executor_state& state, std::uint32_t share, steady_time now);
-    void eject(executor_state& state, steady_time now);
+    [[nodiscard]] bool may_eject(bool is_unreachable, steady_time now) const;
+    void eject(executor_state& state, bool is_unreachable, steady_time now);
 
     std::unique_ptr<routing_policy> policy;
     std::string zone;
--- a/libraries/routing/fair_queue.h
+++ b/libraries/routing/fair_queue.h
@@ -67,8 +67,8 @@
 
     const std::size_t limit;
     std::map<std::string, account_queue, std::less<>> accounts;
-    double virtual_time = 0;      // Of the account served last; never falls.
-    std::size_t total = 0;        // Sum of the sizes of all accounts.
+    double virtual_time = 0; // Of the account served last; never falls.
+    std::size_t total = 0;   // Sum of the sizes of all accounts.
     steady_time last_drop{};
 };
 
--- a/libraries/routing/retry_budget.h
+++ b/libraries/routing/retry_budget.h
@@ -27,7 +27,7 @@
     static constexpr double token_limit = 20;
 
     double fraction;
-    double tokens = 2;      // At most token_limit. A quiet entry may retry at once, but not in bulk.
+    double tokens = 2; // At most token_limit. A quiet entry may retry at once, but not in bulk.
 };
 
 } // namespace wigeon
--- a/libraries/scheduling/gang_driver.cpp
+++ b/libraries/scheduling/gang_driver.cpp
@@ -57,8 +57,7 @@
 {
     std::erase_if(this->gangs, [&](const auto& entry) {
         const Job* job = state.find_job(entry.first);
-        const bool is_current =
-            job != nullptr && is_on_workers(job->state()) && job->attempt() == entry.second.attempt;
+        const bool is_current = job != nullptr && is_on_workers(job->state()) && job->attempt() == entry.second.attempt;
         if (is_current)
             return false;
         for (std::size_t i = 0; i < entry.second.tasks.size(); ++i) {
@@ -233,7 +232,8 @@
         order.set_worker(worker.id());
         order.set_term(this->term);
         if (contact.clock_ms != 0) {
-            const milliseconds age = elapsed_ms(contact.clock_read_at, now) + message_lifetime + this->options.call_limit;
+            const milliseconds age =
+                elapsed_ms(contact.clock_read_at, now) + message_lifetime + this->options.call_limit;
             order.set_not_after_ms(contact.clock_ms + static_cast<std::uint64_t>(age.count()));
         }
         contact.is_under_way = true;
@@ -319,8 +319,8 @@
         return task.is_known && is_missing && (entry.is_released || entry.is_adopted || task.known == TASK_STOPPED);
     });
     const bool is_late = now - entry.phase_since > this->options.start_limit;
-    const bool is_unreleased = has([](const task_view& task) { return !task.is_known || task.known == TASK_HELD ||
-                                                                      task.known == TASK_ABSENT; });
+    const bool is_unreleased = has(
+        [](const task_view& task) { return !task.is_known || task.known == TASK_HELD || task.known == TASK_ABSENT; });
     if (is_lost || (is_late && is_unreleased)) {
         decisions.push_back(make_stop(job, is_lost ? "a task was lost before the start" : "the start took too long"));
         return;
@@ -383,8 +383,8 @@
         return;
     }
     if (failed != nullptr && job.failures() + 1 >= this->options.job_attempts) {
-        decisions.push_back(make_end(job, JOB_FAILED, "attempt " + std::to_string(job.attempt()) + ": a task failed on " +
-                                                          failed->worker));
+        decisions.push_back(make_end(
+            job, JOB_FAILED, "attempt " + std::to_string(job.attempt()) + ": a task failed on " + failed->worker));
         return;
     }
     Decision decision;
--- a/libraries/scheduling/gang_driver.h
+++ b/libraries/scheduling/gang_driver.h
@@ -20,14 +20,14 @@
     milliseconds lease{15'000};
     milliseconds hold{3'000};
     milliseconds checkpoint_limit{1'500};
-    milliseconds retry_interval{100};       // Between two tries of an unanswered order.
-    milliseconds silent_interval{1'000};    // Between two messages to a worker that does not answer.
-    milliseconds call_limit{800};           // Time limit of one exchange.
-    milliseconds ping_interval{2'000};      // Longest time without a message to a worker.
-    milliseconds start_limit{2'500};        // From the placement to the last release; less than the hold.
-    milliseconds poll_interval{1'000};      // Between two questions after finished tasks.
-    milliseconds adoption_limit{915'000};   // After which tasks of an unreachable worker, started by an
-                                            // earlier holder, have lapsed for certain.
+    milliseconds retry_interval{100};     // Between two tries of an unanswered order.
+    milliseconds silent_interval{1'000};  // Between two messages to a worker that does not answer.
+    milliseconds call_limit{800};         // Time limit of one exchange.
+    milliseconds ping_interval{2'000};    // Longest time without a message to a worker.
+    milliseconds start_limit{2'500};      // From the placement to the last release; less than the hold.
+    milliseconds poll_interval{1'000};    // Between two questions after finished tasks.
+    milliseconds adoption_limit{915'000}; // After which tasks of an unreachable worker, started by an
+                                          // earlier holder, have lapsed for certain.
     std::uint32_t job_attempts = 3;
 };
 
@@ -35,8 +35,8 @@
 struct worker_message {
     std::string address;
     WorkerOrders orders;
-    steady_time not_after;      // An older message is not sent: its sender may have been paused.
-    bool is_to_silent = false;  // The worker did not answer the last time; it must not delay the others.
+    steady_time not_after;     // An older message is not sent: its sender may have been paused.
+    bool is_to_silent = false; // The worker did not answer the last time; it must not delay the others.
 };
 
 class gang_driver {
@@ -70,29 +70,29 @@
         std::string worker;
         std::uint32_t accelerators = 0;
         TaskState known = TASK_ABSENT;
-        bool is_known = false;               // False until the worker answered under this term.
-        steady_time lease_until{};           // When the task has certainly stopped by itself.
-        steady_time asked_at{};              // When an order was last made for it.
-        steady_time renewed_at{};            // Start of the newest answered exchange.
-        std::uint32_t refusals = 0;          // Connections refused in a row.
+        bool is_known = false;      // False until the worker answered under this term.
+        steady_time lease_until{};  // When the task has certainly stopped by itself.
+        steady_time asked_at{};     // When an order was last made for it.
+        steady_time renewed_at{};   // Start of the newest answered exchange.
+        std::uint32_t refusals = 0; // Connections refused in a row.
     };
 
     struct gang {
         std::uint32_t attempt = 0;
         JobState phase = JOB_UNKNOWN;
         steady_time phase_since{};
-        bool is_adopted = false;             // Was on workers before this holder saw it.
-        bool is_released = false;            // A release went out: no task may be held anew.
+        bool is_adopted = false;  // Was on workers before this holder saw it.
+        bool is_released = false; // A release went out: no task may be held anew.
         bool is_checkpointed = false;
         std::vector<task_view> tasks;
     };
 
     struct worker_contact {
         bool is_under_way = false;
-        steady_time sent_at{};               // When the newest message was made.
-        std::uint64_t clock_ms = 0;          // The worker's clock in its newest answer; 0 when unknown.
-        steady_time clock_read_at{};         // When that answer arrived.
-        steady_time silent_since{};          // Start of the first of the unanswered exchanges in a row.
+        steady_time sent_at{};       // When the newest message was made.
+        std::uint64_t clock_ms = 0;  // The worker's clock in its newest answer; 0 when unknown.
+        steady_time clock_read_at{}; // When that answer arrived.
+        steady_time silent_since{};  // Start of the first of the unanswered exchanges in a row.
         bool is_silent = false;
     };
 
--- a/libraries/scheduling/operator_api.cpp
+++ b/libraries/scheduling/operator_api.cpp
@@ -46,8 +46,8 @@
     server.Get("/v1/accounts",
                [this](const auto&, auto& answer) { answer.set_content(this->format_accounts(), json); });
     server.Get("/v1/configuration", [this](const auto&, auto& answer) {
-        answer.set_content(
-            this->state.read([](const replicated_state& s) { return format_json(s.configuration()); }), json);
+        answer.set_content(this->state.read([](const replicated_state& s) { return format_json(s.configuration()); }),
+                           json);
     });
     server.Get(R"(/v1/explain/([^/]+)/([^/]+))", [this](const auto& request, auto& answer) {
         answer.set_content(this->explain(request.matches[1].str() + "/" + request.matches[2].str()), json);
@@ -132,9 +132,8 @@
             row.add("bound", sum(view.bound(account.name())));
             row.add("unused", sum(view.unused_guarantee(account.name())));
             row.add("borrowed", std::uint64_t{view.borrowed_by(account.name())});
-            row.add("unmet_cells",
-                    binding == current.bindings().end() ? std::uint64_t{0}
-                                                        : std::uint64_t{binding->second.unmet_cells()});
+            row.add("unmet_cells", binding == current.bindings().end() ? std::uint64_t{0}
+                                                                       : std::uint64_t{binding->second.unmet_cells()});
             row.add("bound_workers", list_bound(view, account.name()));
             rows.push_back(row.to_string());
         }
@@ -160,7 +159,7 @@
             text.add("reason", job->reason());
         const auto reason = reasons.find(job_id);
         if (job->state() == JOB_ACCEPTED)
-            text.add("waits", reason != reasons.end()      ? reason->second
+            text.add("waits", reason != reasons.end()  ? reason->second
                               : this->loop.is_holder() ? std::string("is planned in the next round")
                                                        : "ask the holder at " + current.holder_address());
         const fleet_view view(current, {});
--- a/libraries/scheduling/scheduler_loop.cpp
+++ b/libraries/scheduling/scheduler_loop.cpp
@@ -13,7 +13,7 @@
 constexpr milliseconds tick{10};
 constexpr milliseconds host_list_interval{1000};
 constexpr milliseconds unreachable_after{700};
-constexpr milliseconds term_write_limit{5000};
+constexpr milliseconds term_write_limit{15'000};
 constexpr milliseconds decision_write_limit{10'000};
 constexpr milliseconds shortest_plan_interval{20};
 // Without a change of the state, time alone may allow a placement: a quarantine ends, a worker comes back.
@@ -24,8 +24,8 @@
 {
     term_options options;
     options.renewal_interval = milliseconds(settings.renewal_interval_ms());
-    options.term_timeout = milliseconds(settings.term_timeout_ms());
-    options.confirm_limit = milliseconds(settings.confirm_limit_ms());
+    options.shortest_lease = milliseconds(settings.term_lease_ms());
+    options.longest_lease = milliseconds(settings.longest_term_lease_ms());
     options.unconfirmed_limit = std::chrono::seconds(settings.unconfirmed_limit_s());
     options.claim_jitter = milliseconds(incarnation % jitter_limit_ms);
     return options;
@@ -138,7 +138,8 @@
 void scheduler_loop::keep_term(steady_time now)
 {
     const term_view view = this->state.read([](const replicated_state& current) {
-        return term_view{current.term(), current.holder(), current.renewal_offset()};
+        return term_view{current.term(), current.holder(), current.renewal_offset(),
+                         milliseconds(current.term_lease_ms())};
     });
     this->keeper.note_log(view, this->state.last_log_answer(), now);
     const bool is_holder_now = this->keeper.is_holder();
@@ -155,10 +156,12 @@
         record.mutable_claim()->set_term(view.term + 1);
         record.mutable_claim()->set_address(this->operator_address);
         record.mutable_claim()->set_renewal_offset(view.renewal_offset);
+        record.mutable_claim()->set_lease_ms(static_cast<std::uint64_t>(this->keeper.choose_lease().count()));
         process_metrics().count("wigeon_term_claims_total");
     }
     else {
         record.mutable_renewal()->set_term(view.term);
+        record.mutable_renewal()->set_lease_ms(static_cast<std::uint64_t>(this->keeper.choose_lease().count()));
     }
     this->keeper.note_sent(now);
     this->pending_term = this->state.submit_later(std::move(record), now + term_write_limit);
@@ -168,7 +171,7 @@
 {
     if (!this->pending_term || !is_done(*this->pending_term))
         return;
-    this->keeper.note_settled(is_in_force(*this->pending_term));
+    this->keeper.note_settled(is_in_force(*this->pending_term), read_steady_clock());
     this->pending_term.reset();
 }
 
@@ -262,8 +265,8 @@
         this->state.read([](const replicated_state& current) { return current.configuration().version(); }));
     for (Decision& decision : decisions)
         *body.add_decisions() = std::move(decision);
-    this->pending = pending_decisions{this->state.submit_later(std::move(record), now + decision_write_limit),
-                                      decisions.size()};
+    this->pending =
+        pending_decisions{this->state.submit_later(std::move(record), now + decision_write_limit), decisions.size()};
 }
 
 void scheduler_loop::run_host_list()
--- a/libraries/scheduling/scheduler_loop.h
+++ b/libraries/scheduling/scheduler_loop.h
@@ -69,13 +69,13 @@
     std::optional<std::future<apply_result>> pending_term;
     std::optional<pending_decisions> pending;
     std::uint64_t driven_term = 0;
-    std::uint64_t planned_offset = 0;          // The state's offset at the newest planning round.
+    std::uint64_t planned_offset = 0; // The state's offset at the newest planning round.
     steady_time planned_at{};
 
     mutable std::mutex shared_mutex;
-    std::map<std::string, std::string> reasons;     // Guarded by shared_mutex.
-    worker_set unreachable;                         // Guarded by shared_mutex.
-    worker_set leaving;                             // Guarded by shared_mutex.
+    std::map<std::string, std::string> reasons; // Guarded by shared_mutex.
+    worker_set unreachable;                     // Guarded by shared_mutex.
+    worker_set leaving;                         // Guarded by shared_mutex.
 
     std::atomic<bool> holds_term = false;
     std::atomic<bool> stopping = false;
--- a/libraries/scheduling/term_keeper.cpp
+++ b/libraries/scheduling/term_keeper.cpp
@@ -2,10 +2,14 @@
 
 #include "scheduling/term_keeper.h"
 
+#include <algorithm>
+
 namespace wigeon {
 
 namespace {
 
+constexpr int lease_per_write_time = 3;
+
 // A standby claims only while the log answers: in an outage it cannot know whether the holder renewed.
 constexpr milliseconds log_answer_limit{1000};
 
@@ -13,8 +17,8 @@
 
 void term_keeper::note_log(const term_view& newest, steady_time last_answer, steady_time now)
 {
-    const bool has_progress = !this->is_started || newest.term != this->view.term ||
-                              newest.renewal_offset != this->view.renewal_offset;
+    const bool has_progress =
+        !this->is_started || newest.term != this->view.term || newest.renewal_offset != this->view.renewal_offset;
     if (has_progress)
         this->last_progress = now;
     // Silence in the time of an outage says nothing of the holder, so it does not count.
@@ -35,26 +39,38 @@
         return term_action::nothing;
     if (this->view.holder == 0)
         return term_action::claim;
-    const bool is_silent = now - this->last_progress > this->options.term_timeout + this->options.claim_jitter;
+    // The holder's lease began before its renewal was read here, so it has ended when the claim is written.
+    const bool is_silent = now - this->last_progress > this->view.lease + this->options.claim_jitter;
     return is_silent ? term_action::claim : term_action::nothing;
 }
 
+milliseconds term_keeper::choose_lease() const
+{
+    return std::clamp(this->write_time * lease_per_write_time, this->options.shortest_lease,
+                      this->options.longest_lease);
+}
+
 void term_keeper::note_sent(steady_time now)
 {
     this->pending_since = now;
+    this->pending_lease = this->choose_lease();
     this->last_renewal = now;
 }
 
-void term_keeper::note_settled(bool is_in_force)
+void term_keeper::note_settled(bool is_in_force, steady_time now)
 {
-    if (is_in_force && this->pending_since)
+    if (this->pending_since)
+        this->write_time = std::max(elapsed_ms(*this->pending_since, now), this->write_time / 2);
+    if (is_in_force && this->pending_since) {
         this->confirmed_at = *this->pending_since;
+        this->confirmed_lease = this->pending_lease;
+    }
     this->pending_since.reset();
 }
 
 bool term_keeper::may_act(steady_time now) const
 {
-    return this->is_holder() && now - this->confirmed_at < this->options.confirm_limit;
+    return this->is_holder() && now - this->confirmed_at < this->confirmed_lease;
 }
 
 bool term_keeper::may_renew_leases(steady_time now) const
--- a/libraries/scheduling/term_keeper.h
+++ b/libraries/scheduling/term_keeper.h
@@ -12,10 +12,10 @@
 
 struct term_options {
     milliseconds renewal_interval{400};
-    milliseconds term_timeout{1200};      // Without a renewal for this long, a standby claims.
-    milliseconds confirm_limit{3000};     // A confirmation allows starts and stops for this long.
+    milliseconds shortest_lease{1200};
+    milliseconds longest_lease{15'000};
     milliseconds unconfirmed_limit{900'000};
-    milliseconds claim_jitter{0};         // Added to term_timeout, so that not all standbys claim at once.
+    milliseconds claim_jitter{0}; // Added to the lease, so that not all standbys claim at once.
 };
 
 // What the log says of the term.
@@ -23,6 +23,7 @@
     std::uint64_t term = 0;
     std::uint64_t holder = 0;
     std::uint64_t renewal_offset = 0;
+    milliseconds lease{0};
 };
 
 enum class term_action : std::uint8_t { nothing, claim, renew };
@@ -36,11 +37,14 @@
 
     [[nodiscard]] term_action decide(steady_time now) const;
 
-    // A claim or renewal is being written. `now` is read before it is sent.
+    // The lease for the next claim or renewal: several times what the log took for the last one.
+    [[nodiscard]] milliseconds choose_lease() const;
+
+    // A claim or renewal with choose_lease() is being written. `now` is read before it is sent.
     void note_sent(steady_time now);
 
     // The pending claim or renewal was read back, or failed.
-    void note_settled(bool is_in_force);
+    void note_settled(bool is_in_force, steady_time now);
 
     [[nodiscard]] bool is_holder() const { return this->view.holder == this->self; }
     [[nodiscard]] std::uint64_t term() const { return this->view.term; }
@@ -56,10 +60,13 @@
     const std::uint64_t self;
     const term_options options;
     term_view view;
-    steady_time last_progress{};                   // When a change of the term or a renewal was last read.
+    steady_time last_progress{}; // When a change of the term or a renewal was last read.
     steady_time last_log_answer{};
-    std::optional<steady_time> pending_since;      // Set while a claim or renewal is on its way.
-    steady_time confirmed_at{};                    // Start of the newest write that was read back in force.
+    std::optional<steady_time> pending_since; // Set while a claim or renewal is on its way.
+    milliseconds pending_lease{0};
+    steady_time confirmed_at{};      // Start of the newest write that was read back in force.
+    milliseconds confirmed_lease{0}; // The lease in that write.
+    milliseconds write_time{0};      // Recent time of a write; falls slowly.
     steady_time last_renewal{};
     bool is_started = false;
 };
--- a/libraries/scheduling/worker_pool.cpp
+++ b/libraries/scheduling/worker_pool.cpp
@@ -13,8 +13,7 @@
 
 } // namespace
 
-worker_pool::worker_pool(std::size_t thread_count,
-                         const std::function<std::unique_ptr<worker_service>()>& make_service)
+worker_pool::worker_pool(std::size_t thread_count, const std::function<std::unique_ptr<worker_service>()>& make_service)
 {
     for (std::size_t i = 0; i < thread_count + silent_lane_threads; ++i) {
         this->services.push_back(make_service());
--- a/libraries/scheduling/worker_pool.h
+++ b/libraries/scheduling/worker_pool.h
@@ -19,7 +19,7 @@
     worker_answer answer;
     steady_time sent_at{};
     steady_time answered_at{};
-    bool is_dropped = false;      // Too old, or no room in the ring: it was not sent.
+    bool is_dropped = false; // Too old, or no room in the ring: it was not sent.
 };
 
 class worker_pool {
--- a/libraries/scheduling/worker_service.h
+++ b/libraries/scheduling/worker_service.h
@@ -13,8 +13,8 @@
 
 enum class worker_call : std::uint8_t {
     answered,
-    refused,        // No connection: the orders were not seen.
-    uncertain,      // The orders may have taken effect.
+    refused,   // No connection: the orders were not seen.
+    uncertain, // The orders may have taken effect.
 };
 
 struct worker_answer {
--- a/libraries/state/configuration.cpp
+++ b/libraries/state/configuration.cpp
@@ -104,8 +104,8 @@
     const binding_table bound = bind_guarantees(configuration, {}, [](const Worker&) { return true; });
     for (const auto& [account, binding] : bound) {
         if (binding.unmet_cells() > 0)
-            throw error(error_kind::infeasible_guarantee, "accounts.guarantees of '" + account + "': " +
-                                                              std::to_string(binding.unmet_cells()) +
+            throw error(error_kind::infeasible_guarantee, "accounts.guarantees of '" + account +
+                                                              "': " + std::to_string(binding.unmet_cells()) +
                                                               " cells do not fit the configured workers");
     }
 }
--- a/libraries/state/job_rules.cpp
+++ b/libraries/state/job_rules.cpp
@@ -27,11 +27,11 @@
 void check_job_request(const Configuration& configuration, const JobRequest& request)
 {
     if (find_account(configuration, request.account()) == nullptr)
-        throw error(error_kind::unknown_account, "account: '" + request.account().substr(0, name_limit) +
-                                                     "' is not configured");
+        throw error(error_kind::unknown_account,
+                    "account: '" + request.account().substr(0, name_limit) + "' is not configured");
     if (find_class(configuration, request.job_class()) == nullptr)
-        throw error(error_kind::unknown_class, "job_class: '" + request.job_class().substr(0, name_limit) +
-                                                   "' is not configured");
+        throw error(error_kind::unknown_class,
+                    "job_class: '" + request.job_class().substr(0, name_limit) + "' is not configured");
     if (request.key().size() > key_limit || !is_valid_name(request.key().substr(0, name_limit)))
         refuse("key: empty, too long or has characters beyond A-Z a-z 0-9 - _ .");
     if (request.tasks() == 0 || request.tasks() > gang_limit)
@@ -56,8 +56,8 @@
     if (request.cores_per_task() > 0) {
         if (worker.cores() < request.cores_per_task())
             return 0;
-        needed = std::max(needed, divide_up(std::uint64_t{request.cores_per_task()} * worker.accelerators(),
-                                            worker.cores()));
+        needed = std::max(needed,
+                          divide_up(std::uint64_t{request.cores_per_task()} * worker.accelerators(), worker.cores()));
     }
     if (request.memory_gigabytes_per_task() > 0) {
         if (worker.memory_gigabytes() < request.memory_gigabytes_per_task())
--- a/libraries/state/replicated_state.cpp
+++ b/libraries/state/replicated_state.cpp
@@ -42,6 +42,7 @@
       current_term(snapshot.term()),
       current_holder(snapshot.holder()),
       current_holder_address(snapshot.holder_address()),
+      lease_ms(snapshot.term_lease_ms()),
       renewal(snapshot.renewal_offset()),
       current_configuration(snapshot.configuration())
 {
@@ -68,6 +69,7 @@
     snapshot.set_holder(this->current_holder);
     snapshot.set_holder_address(this->current_holder_address);
     snapshot.set_renewal_offset(this->renewal);
+    snapshot.set_term_lease_ms(this->lease_ms);
     *snapshot.mutable_configuration() = this->current_configuration;
     for (const auto& [id, author] : this->authors)
         *snapshot.add_authors() = author;
@@ -209,8 +211,8 @@
         for (const TaskPlacement& placement : job.placements()) {
             const auto found = addresses.find(placement.worker());
             if (found == addresses.end())
-                throw error(error_kind::invalid_configuration, "workers: '" + placement.worker() + "' runs job '" +
-                                                                   id + "'; drain it before it is removed");
+                throw error(error_kind::invalid_configuration, "workers: '" + placement.worker() + "' runs job '" + id +
+                                                                   "'; drain it before it is removed");
         }
     }
 }
@@ -226,6 +228,7 @@
     this->current_term = record.claim().term();
     this->current_holder = record.author();
     this->current_holder_address = record.claim().address();
+    this->lease_ms = record.claim().lease_ms();
     this->renewal = this->next - 1;
 }
 
@@ -234,6 +237,7 @@
     if (record.renewal().term() != this->current_term || record.author() != this->current_holder)
         throw error(error_kind::fenced, "the term has another holder");
     this->renewal = this->next - 1;
+    this->lease_ms = record.renewal().lease_ms();
 }
 
 void replicated_state::apply_submit(const Record& record)
@@ -437,9 +441,8 @@
     erase_expired(this->keys, [now](const KeyState& k) { return k.time_ms() + key_lifetime_ms < now; });
     erase_expired(this->verdicts,
                   [now](const ConfigurationVerdict& v) { return v.time_ms() + verdict_lifetime_ms < now; });
-    erase_expired(this->job_table, [now](const Job& job) {
-        return is_ended(job.state()) && job.ended_at_ms() + job_lifetime_ms < now;
-    });
+    erase_expired(this->job_table,
+                  [now](const Job& job) { return is_ended(job.state()) && job.ended_at_ms() + job_lifetime_ms < now; });
     erase_expired(this->quarantine_of_worker, [now](const QuarantineState& q) { return q.until_ms() < now; });
 }
 
--- a/libraries/state/replicated_state.h
+++ b/libraries/state/replicated_state.h
@@ -17,10 +17,10 @@
 
 enum class apply_outcome : std::uint8_t {
     applied,
-    duplicate,    // A record of this author with this or a later sequence was applied before.
-    voided,       // A void record settled this sequence: the original never takes effect.
-    stale,        // The record is older than the window in which duplicates are recognised.
-    refused,      // The record is valid in form, but not in this state.
+    duplicate, // A record of this author with this or a later sequence was applied before.
+    voided,    // A void record settled this sequence: the original never takes effect.
+    stale,     // The record is older than the window in which duplicates are recognised.
+    refused,   // The record is valid in form, but not in this state.
 };
 
 // Names the author's record and what became of it.
@@ -28,7 +28,7 @@
     std::uint64_t author = 0;
     std::uint64_t sequence = 0;
     apply_outcome outcome = apply_outcome::applied;
-    std::optional<error_kind> reason;    // Set when refused.
+    std::optional<error_kind> reason; // Set when refused.
     std::string detail;
     std::uint64_t configuration_version = 0;
 };
@@ -61,6 +61,7 @@
     [[nodiscard]] std::uint64_t term() const { return this->current_term; }
     [[nodiscard]] std::uint64_t holder() const { return this->current_holder; }
     [[nodiscard]] std::uint64_t renewal_offset() const { return this->renewal; }
+    [[nodiscard]] std::uint64_t term_lease_ms() const { return this->lease_ms; }
     [[nodiscard]] const std::string& holder_address() const { return this->current_holder_address; }
     [[nodiscard]] const Configuration& configuration() const { return this->current_configuration; }
     [[nodiscard]] const std::map<std::string, Job, std::less<>>& jobs() const { return this->job_table; }
@@ -93,12 +94,13 @@
     void forget_expired();
 
     std::uint64_t next = 0;
-    std::uint64_t log_time = 0;               // Never falls.
-    std::uint64_t current_term = 0;           // Never falls.
+    std::uint64_t log_time = 0;     // Never falls.
+    std::uint64_t current_term = 0; // Never falls.
     std::uint64_t current_holder = 0;
     std::string current_holder_address;
-    std::uint64_t renewal = 0;                // Offset of the holder's newest renewal or claim.
-    Configuration current_configuration;      // Its version never falls.
+    std::uint64_t lease_ms = 0;          // Of the newest renewal or claim.
+    std::uint64_t renewal = 0;           // Offset of the holder's newest renewal or claim.
+    Configuration current_configuration; // Its version never falls.
     std::map<std::uint64_t, AuthorState> authors;
     std::map<std::string, Job, std::less<>> job_table;
     std::map<key_id, KeyState> keys;
--- a/services/entry/main.cpp
+++ b/services/entry/main.cpp
@@ -103,7 +103,8 @@
 void run(const EntrySettings& settings)
 {
     const CommonSettings& common = settings.common();
-    replica state({common.log_address(), milliseconds(common.log_timeout_ms()), milliseconds(common.append_window_ms())});
+    replica state(
+        {common.log_address(), milliseconds(common.log_timeout_ms()), milliseconds(common.append_window_ms())});
     peer_gossip gossip(common, "entry", state);
     admission gate(settings.account_queue_limit(),
                    executor_table(make_routing_policy(settings.routing_policy(), state.incarnation()), common.zone()));
--- a/services/scheduler/main.cpp
+++ b/services/scheduler/main.cpp
@@ -20,7 +20,8 @@
 void run(const SchedulerSettings& settings)
 {
     const CommonSettings& common = settings.common();
-    replica state({common.log_address(), milliseconds(common.log_timeout_ms()), milliseconds(common.append_window_ms())});
+    replica state(
+        {common.log_address(), milliseconds(common.log_timeout_ms()), milliseconds(common.append_window_ms())});
     peer_gossip gossip(common, "scheduler", state);
     scheduler_loop loop(settings, settings.operator_address(), state);
     operator_api api(state, loop, gossip);
--- a/services/wigeonctl/main.cpp
+++ b/services/wigeonctl/main.cpp
@@ -21,20 +21,19 @@
 constexpr int unknown_exit_code = 3;
 constexpr int unreachable_exit_code = 4;
 
-constexpr const char* usage =
-    "wigeonctl SUBCOMMAND [flags]\n\n"
-    "Changes (need --log_address):\n"
-    "  publish FILE            publish a whole version as JSON, against --base_version\n"
-    "  patch FILE              publish a patch as JSON, against --base_version\n"
-    "  drain worker|executor ID    give it no new work (against the version in force)\n"
-    "  undrain worker|executor ID  give it work again\n"
-    "Views (need --scheduler_address):\n"
-    "  show                    the configuration in force\n"
-    "  status                  version, term and job counts\n"
-    "  fleet                   free, borrowed and guaranteed accelerators by rack\n"
-    "  accounts                what each account's guarantee is bound to\n"
-    "  job explain ACCOUNT/KEY what a job waits for\n\n"
-    "Exit codes: 0 done; 1 refused; 2 wrong usage; 3 outcome unknown, ask again; 4 no answer";
+constexpr const char* usage = "wigeonctl SUBCOMMAND [flags]\n\n"
+                              "Changes (need --log_address):\n"
+                              "  publish FILE            publish a whole version as JSON, against --base_version\n"
+                              "  patch FILE              publish a patch as JSON, against --base_version\n"
+                              "  drain worker|executor ID    give it no new work (against the version in force)\n"
+                              "  undrain worker|executor ID  give it work again\n"
+                              "Views (need --scheduler_address):\n"
+                              "  show                    the configuration in force\n"
+                              "  status                  version, term and job counts\n"
+                              "  fleet                   free, borrowed and guaranteed accelerators by rack\n"
+                              "  accounts                what each account's guarantee is bound to\n"
+                              "  job explain ACCOUNT/KEY what a job waits for\n\n"
+                              "Exit codes: 0 done; 1 refused; 2 wrong usage; 3 outcome unknown, ask again; 4 no answer";
 
 [[noreturn]] void fail_usage(const std::string& line)
 {
@@ -164,8 +163,8 @@
 }
 
 template <typename Item>
-void set_draining(const google::protobuf::RepeatedPtrField<Item>& items,
-                  google::protobuf::RepeatedPtrField<Item>& put, const std::string& id, bool is_draining)
+void set_draining(const google::protobuf::RepeatedPtrField<Item>& items, google::protobuf::RepeatedPtrField<Item>& put,
+                  const std::string& id, bool is_draining)
 {
     for (const Item& item : items) {
         if (item.id() == id) {
@@ -206,8 +205,8 @@
     else if (words[0] == "patch")
         parse_json(read_file(words[1]), *wanted.mutable_patch());
     const steady_time deadline = read_steady_clock() + milliseconds(settings.timeout_ms());
-    replica state({settings.log_address(), std::min(milliseconds(settings.timeout_ms()), milliseconds(1500)),
-                   milliseconds(0)});
+    replica state(
+        {settings.log_address(), std::min(milliseconds(settings.timeout_ms()), milliseconds(1500)), milliseconds(0)});
     state.start([](std::uint64_t) { return StateAnswer{}; });
     while (!state.is_ready() && read_steady_clock() < deadline)
         state.wait_for_change(0, milliseconds(10));
--- /dev/null
+++ b/tests/integration/requests_test.cpp
@@ -0,0 +1,407 @@
+// Requests from callers through real entries to executors, behind the fault-injecting proxy.
+
+#include <array>
+#include <atomic>
+#include <csignal>
+#include <mutex>
+#include <random>
+#include <sstream>
+#include <thread>
+
+#include <boost/test/unit_test.hpp>
+
+#include "support/cluster.h"
+
+namespace wigeon::test {
+
+namespace {
+
+using headers = std::map<std::string, std::string>;
+
+// What callers were told, by request id.
+struct caller_book {
+    std::mutex mutex;
+    std::map<std::string, http_reply> replies;
+
+    void note(const std::string& id, http_reply reply)
+    {
+        const std::lock_guard lock(this->mutex);
+        this->replies[id] = std::move(reply);
+    }
+};
+
+std::string execution_of(const http_reply& reply)
+{
+    const auto found = reply.headers.find("Wigeon-Execution");
+    return found == reply.headers.end() ? "" : found->second;
+}
+
+// Holds every answer against the executors' own counts.
+void check_against_runs(const caller_book& book, const std::map<std::string, int>& runs)
+{
+    for (const auto& [id, reply] : book.replies) {
+        const auto found = runs.find(id);
+        const int count = found == runs.end() ? 0 : found->second;
+        BOOST_TEST(count <= 1, id << " ran " << count << " times");
+        if (reply.status == 200) {
+            BOOST_TEST(count == 1, id << " was answered but ran " << count << " times");
+            BOOST_TEST(reply.body == "answer " + id + " body-of-" + id);
+        }
+        if (execution_of(reply) == "did_not_run")
+            BOOST_TEST(count == 0, id << " was told 'did not run' but ran: " << reply.body);
+    }
+}
+
+// Callers that send requests one after the other, each to the entries in turn.
+void run_callers(const cluster& system, caller_book& book, int callers, int requests_each, const std::string& path,
+                 const headers& extra = {})
+{
+    std::vector<std::thread> threads;
+    for (int caller = 0; caller < callers; ++caller) {
+        threads.emplace_back([&, caller] {
+            for (int i = 0; i < requests_each; ++i) {
+                const std::string id = "c" + std::to_string(caller) + "-" + std::to_string(i);
+                book.note(id, system.request(i % system.entry_count(), id, path, extra));
+            }
+        });
+    }
+    for (std::thread& thread : threads)
+        thread.join();
+}
+
+int count_status(const caller_book& book, int status)
+{
+    int count = 0;
+    for (const auto& [id, reply] : book.replies)
+        count += reply.status == status;
+    return count;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(requests_story)
+
+BOOST_AUTO_TEST_SUITE(a_request_that_is_not_idempotent)
+
+BOOST_AUTO_TEST_CASE(runs_at_most_once_through_cut_frozen_and_lost_connections)
+{
+    cluster system({.executors = 4});
+    system.publish(system.make_configuration());
+    caller_book book;
+    std::atomic<bool> is_done = false;
+    std::thread faults([&] {
+        std::mt19937 random(20261204);
+        const std::vector<std::string> kinds = {"cut", "drop_answer", "freeze", "refuse", "delay:30", "freeze_answers"};
+        while (!is_done) {
+            const std::string target = "executor" + std::to_string(random() % 4);
+            system.set_fault(target, kinds[random() % kinds.size()]);
+            std::this_thread::sleep_for(milliseconds(60));
+            system.set_fault(target, "none");
+        }
+    });
+    run_callers(system, book, 12, 40, "/work/10", {{"Wigeon-Deadline-Ms", "800"}});
+    is_done = true;
+    faults.join();
+    std::this_thread::sleep_for(milliseconds(1000));
+    check_against_runs(book, system.read_request_runs());
+    BOOST_TEST(count_status(book, 200) > 240);
+    BOOST_TEST(count_status(book, 200) < 480, "the faults must be felt");
+}
+
+BOOST_AUTO_TEST_CASE(runs_at_most_once_when_its_entry_or_the_executors_die)
+{
+    cluster system({.executors = 2});
+    system.publish(system.make_configuration());
+    caller_book book;
+    std::thread killer([&] {
+        for (int i = 0; i < 3; ++i) {
+            std::this_thread::sleep_for(milliseconds(400));
+            system.entry(0).kill();
+            std::this_thread::sleep_for(milliseconds(100));
+            system.start_entry(0);
+        }
+    });
+    run_callers(system, book, 8, 40, "/work/20", {{"Wigeon-Deadline-Ms", "3000"}});
+    killer.join();
+    std::this_thread::sleep_for(milliseconds(500));
+    check_against_runs(book, system.read_request_runs());
+    BOOST_TEST(count_status(book, 200) > 100);
+}
+
+BOOST_AUTO_TEST_CASE(with_a_key_runs_once_though_it_comes_to_two_entries_at_once)
+{
+    cluster system({});
+    system.publish(system.make_configuration());
+    for (int i = 0; i < 20; ++i) {
+        const std::string id = "key-" + std::to_string(i);
+        std::array<http_reply, 4> replies;
+        std::vector<std::thread> threads;
+        for (std::size_t j = 0; j < replies.size(); ++j) {
+            threads.emplace_back([&, j] {
+                replies[j] = system.request(static_cast<int>(j % 2), id, "/work/30", {{"Idempotency-Key", id}});
+            });
+        }
+        for (std::thread& thread : threads)
+            thread.join();
+        int answered = 0;
+        for (const http_reply& reply : replies) {
+            answered += reply.status == 200;
+            BOOST_TEST((reply.status == 200 || reply.status == 409), reply.body);
+        }
+        BOOST_TEST(answered == 1);
+    }
+    for (const auto& [id, count] : system.read_request_runs())
+        BOOST_TEST(count == 1, id << " ran " << count << " times");
+}
+
+BOOST_AUTO_TEST_CASE(with_a_key_is_not_run_again_after_its_entry_died)
+{
+    cluster system({});
+    system.publish(system.make_configuration());
+    std::thread caller([&] { system.request(0, "truck", "/work/1500", {{"Idempotency-Key", "truck"}}); });
+    cluster::wait_until([&] { return system.read_request_runs().contains("truck"); }, milliseconds(5'000), "the run");
+    system.entry(0).kill();
+    caller.join();
+    const http_reply early = system.request(1, "truck", "/work/10", {{"Idempotency-Key", "truck"}});
+    BOOST_TEST(early.status == 409, early.body);
+    BOOST_TEST(execution_of(early) == "may_have_run");
+    std::this_thread::sleep_for(milliseconds(1500));
+    const http_reply late = system.request(1, "truck", "/work/10", {{"Idempotency-Key", "truck"}});
+    BOOST_TEST(late.body.find("key_may_have_run") != std::string::npos, late.body);
+    BOOST_TEST(system.read_request_runs().at("truck") == 1);
+}
+
+BOOST_AUTO_TEST_CASE(with_a_key_is_refused_unrun_while_the_log_is_down)
+{
+    cluster system({});
+    system.publish(system.make_configuration());
+    system.set_fault("all:log", "refuse");
+    const http_reply reply = system.request(0, "blocked", "/work/1", {{"Idempotency-Key", "blocked"}});
+    BOOST_TEST(reply.status == 503);
+    BOOST_TEST(execution_of(reply) == "did_not_run");
+    BOOST_TEST(system.request(0, "open", "/work/1").status == 200);
+    system.set_fault("all:log", "none");
+    cluster::wait_until(
+        [&] {
+            return system.request(0, "again", "/work/1", {{"Idempotency-Key", "again"}}).status == 200;
+        },
+        milliseconds(10'000), "the log");
+    BOOST_TEST(!system.read_request_runs().contains("blocked"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(an_answer)
+
+BOOST_AUTO_TEST_CASE(is_whole_or_an_error)
+{
+    cluster system({.executors = 1});
+    system.publish(system.make_configuration());
+    BOOST_TEST(system.request(0, "whole", "/size/100000").body.size() == 100'000U);
+    for (const char* size : {"1", "999", "1000", "5000", "100000"}) {
+        const http_reply reply = system.request(0, std::string("cut-") + size, std::string("/broken/") + size);
+        BOOST_TEST(reply.status == 502, size << ": " << reply.body.substr(0, 100));
+        BOOST_TEST(execution_of(reply) == "may_have_run");
+    }
+}
+
+BOOST_AUTO_TEST_CASE(that_comes_late_reaches_no_other_caller)
+{
+    cluster system({.entries = 1, .executors = 1});
+    system.publish(system.make_configuration());
+    caller_book book;
+    std::vector<std::thread> threads;
+    for (int i = 0; i < 6; ++i) {
+        threads.emplace_back([&, i] {
+            for (int j = 0; j < 20; ++j) {
+                const std::string id = "late" + std::to_string(i) + "-" + std::to_string(j);
+                const bool is_slow = j % 3 == 0;
+                book.note(id, system.request(0, id, is_slow ? "/work/120" : "/work/5",
+                                             {{"Wigeon-Deadline-Ms", is_slow ? "60" : "2000"},
+                                              {"Wigeon-Idempotent", j % 2 == 0 ? "true" : "false"}}));
+            }
+        });
+    }
+    for (std::thread& thread : threads)
+        thread.join();
+    for (const auto& [id, reply] : book.replies) {
+        if (reply.status == 200)
+            BOOST_TEST(reply.body == "answer " + id + " body-of-" + id);
+    }
+    BOOST_TEST(count_status(book, 200) >= 60);
+    BOOST_TEST(count_status(book, 504) >= 30);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(connections_that_go_silent)
+
+BOOST_AUTO_TEST_CASE(are_found_by_probes_and_cost_callers_nothing_after_that)
+{
+    cluster system({.entries = 1, .executors = 2, .entry_flags = {"--probe_interval_ms=300"}});
+    system.publish(system.make_configuration());
+    caller_book before;
+    run_callers(system, before, 1, 20, "/work/1");
+    system.set_fault("all:executor", "freeze");
+    cluster::wait_until([&] { return system.metric("entry", 0, "wigeon_connections_retired_total") >= 1; },
+                        milliseconds(5'000), "the probe to retire the frozen connections");
+    for (int i = 0; i < 10; ++i) {
+        const std::string id = "after-" + std::to_string(i);
+        const http_reply reply = system.request(0, id, "/work/1", {{"Wigeon-Deadline-Ms", "1000"}});
+        BOOST_TEST(reply.status == 200, reply.body);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(delay_an_idempotent_request_by_the_suspicion_time_only)
+{
+    cluster system(
+        {.entries = 1, .executors = 2, .entry_flags = {"--probe_interval_ms=60000", "--suspect_after_ms=400"}});
+    system.publish(system.make_configuration());
+    for (int i = 0; i < 4; ++i)
+        system.request(0, "warm-" + std::to_string(i), "/work/1", {{"Wigeon-Idempotent", "true"}});
+    system.set_fault("all:executor", "freeze");
+    const steady_time begin = read_steady_clock();
+    const http_reply reply = system.request(0, "late", "/work/1", {{"Wigeon-Idempotent", "true"}});
+    BOOST_TEST(reply.status == 200, reply.body);
+    BOOST_TEST(elapsed_ms(begin, read_steady_clock()).count() < 2'000);
+    BOOST_TEST(system.metric("entry", 0, "wigeon_retries_total{reason=\"silent_connection\"}") >= 1);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(leaving)
+
+BOOST_AUTO_TEST_CASE(an_executor_gets_no_new_work_after_a_few_seconds)
+{
+    cluster system({.executors = 2});
+    system.publish(system.make_configuration());
+    const auto count_received = [&] {
+        std::istringstream text(system.read_executor_loads());
+        int in_use = 0;
+        int most = 0;
+        int over = 0;
+        int received = 0;
+        text >> in_use >> most >> over >> received;
+        return received;
+    };
+    caller_book book;
+    run_callers(system, book, 4, 20, "/work/1");
+    BOOST_TEST(count_received() > 0);
+    system.set_host_leaving("e0", true);
+    std::this_thread::sleep_for(milliseconds(5'000));
+    const int before = count_received();
+    run_callers(system, book, 4, 40, "/work/1");
+    BOOST_TEST(count_received() == before);
+}
+
+BOOST_AUTO_TEST_CASE(an_entry_cuts_off_nothing_in_flight)
+{
+    cluster system({.executors = 2});
+    system.publish(system.make_configuration());
+    caller_book book;
+    std::vector<std::thread> threads;
+    for (int i = 0; i < 4; ++i) {
+        threads.emplace_back([&, i] {
+            const std::string id = "slow-" + std::to_string(i);
+            book.note(id, system.request(0, id, "/work/4000"));
+        });
+    }
+    cluster::wait_until([&] { return system.read_request_runs().size() == 4; }, milliseconds(5'000), "the requests");
+    system.entry(0).signal(SIGTERM);
+    BOOST_TEST(system.entry(0).wait() == 0);
+    for (std::thread& thread : threads)
+        thread.join();
+    BOOST_TEST(count_status(book, 200) == 4);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(overload)
+
+BOOST_AUTO_TEST_CASE(by_one_account_leaves_another_its_share)
+{
+    cluster system({.executors = 1, .slots = 8});
+    system.publish(system.make_configuration());
+    std::atomic<bool> is_done = false;
+    std::vector<std::thread> flood;
+    for (int i = 0; i < 40; ++i) {
+        flood.emplace_back([&, i] {
+            for (int j = 0; !is_done; ++j)
+                system.request(i % 2, "f" + std::to_string(i) + "-" + std::to_string(j), "/work/50",
+                               {{"Wigeon-Account", "large"}, {"Wigeon-Class", "urgent"}});
+        });
+    }
+    std::this_thread::sleep_for(milliseconds(500));
+    caller_book book;
+    run_callers(system, book, 2, 30, "/work/50", {{"Wigeon-Deadline-Ms", "2000"}});
+    is_done = true;
+    for (std::thread& thread : flood)
+        thread.join();
+    BOOST_TEST(count_status(book, 200) == 60);
+}
+
+BOOST_AUTO_TEST_CASE(is_not_multiplied_by_retries)
+{
+    cluster system({.entries = 1, .executors = 2});
+    system.publish(system.make_configuration());
+    system.set_executor("all", "refuse=1");
+    caller_book book;
+    std::vector<std::thread> threads;
+    for (int i = 0; i < 4; ++i) {
+        threads.emplace_back([&, i] {
+            for (int j = 0; j < 100; ++j) {
+                const std::string id = "s" + std::to_string(i) + "-" + std::to_string(j);
+                book.note(id, system.request(0, id, "/work/1",
+                                             {{"Wigeon-Idempotent", "true"}, {"Wigeon-Deadline-Ms", "300"}}));
+            }
+        });
+    }
+    for (std::thread& thread : threads)
+        thread.join();
+    int received = 0;
+    std::istringstream text(system.read_executor_loads());
+    for (int in_use = 0, most = 0, over = 0, count = 0; text >> in_use >> most >> over >> count;)
+        received += count;
+    // The bound of 1.1 times the callers' load, and the two retries that a quiet entry has in hand.
+    BOOST_TEST(received <= 442);
+    BOOST_TEST(count_status(book, 200) == 0);
+    system.set_executor("all", "refuse=0");
+    cluster::wait_until([&] { return system.request(0, "recovered", "/work/1").status == 200; }, milliseconds(5'000),
+                        "the recovery");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(malformed_input)
+
+BOOST_AUTO_TEST_CASE(is_refused_with_the_field_named)
+{
+    cluster system({.entries = 1, .schedulers = 1});
+    system.publish(system.make_configuration());
+    const auto submit = [&](const std::string& body) { return system.post(0, "/v1/jobs", body); };
+    const auto check = [](const http_reply& reply, int status, const std::string& named) {
+        BOOST_TEST(reply.status == status, reply.body);
+        BOOST_TEST(reply.body.find(named) != std::string::npos, reply.body);
+    };
+    check(submit("{"), 400, "malformed_request");
+    check(submit(R"({"surprise": 1})"), 400, "surprise");
+    check(submit(R"({"account": "small", "job_class": "batch", "tasks": -2})"), 400, "tasks");
+    check(submit(R"({"account": "small", "job_class": "batch", "key": "k"})"), 400, "tasks");
+    check(submit(R"({"account": "nobody", "job_class": "batch", "tasks": 1})"), 403, "nobody");
+    check(submit(R"({"account": "small", "job_class": "none", "tasks": 1})"), 400, "job_class");
+    check(submit(R"({"account": "small", "job_class": "batch", "tasks": 99, "accelerators_per_task": 8})"), 422,
+          "largest gang of this shape is 4");
+    check(submit(std::string(2'000'000, 'x')), 413, "body_too_large");
+    check(system.request(0, "x", "/work/1", {{"Wigeon-Deadline-Ms", "soon"}}), 400, "Wigeon-Deadline-Ms");
+    check(system.request(0, "x", "/work/1", {{"Wigeon-Class", "none"}}), 400, "Wigeon-Class");
+    check(system.request(0, "x", "/work/1", {{"Wigeon-Idempotent", "maybe"}}), 400, "Wigeon-Idempotent");
+    check(system.request(0, "x", "/work/1", {{"Idempotency-Key", std::string(200, 'k')}}), 400, "Idempotency-Key");
+    BOOST_TEST(system.request(0, "x", "/work/1", {{"X-Large", std::string(20'000, 'h')}}).status >= 400);
+    BOOST_TEST(system.request(0, "fine", "/work/1").status == 200);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace wigeon::test
--- /dev/null
+++ b/tests/routing/routing_test.cpp
@@ -0,0 +1,223 @@
+// Fair queueing, shares of slots, health of executors and the retry budget.
+
+#include <numeric>
+
+#include "base/error_kind.h"
+#include "membership/member_table.h"
+#include "routing/executor_table.h"
+#include "routing/fair_queue.h"
+#include "routing/retry_budget.h"
+#include "support/property.h"
+
+namespace wigeon::test {
+
+namespace {
+
+const steady_time start{std::chrono::hours(1)};
+
+Configuration make_executors(int count, std::uint32_t slots)
+{
+    Configuration configuration;
+    configuration.set_version(1);
+    for (int i = 0; i < count; ++i) {
+        Executor* executor = configuration.add_executors();
+        executor->set_id("e" + std::to_string(i));
+        executor->set_zone(i % 2 == 0 ? "near" : "far");
+        executor->set_address("127.0.0.1:1");
+        executor->set_slots(slots);
+    }
+    return configuration;
+}
+
+executor_table make_table(int count, std::uint32_t slots)
+{
+    executor_table table(make_routing_policy("two_choices", 7), "near");
+    table.configure(make_executors(count, slots));
+    table.divide_slots({{1, 0}}, 1, start);
+    table.divide_slots({{1, 0}}, 1, start + std::chrono::seconds(10));
+    return table;
+}
+
+queue_ticket make_ticket(std::uint64_t id, const std::string& account, const std::string& job_class = "batch")
+{
+    return {id, account, job_class, start + std::chrono::hours(1), start};
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(routing_story)
+
+BOOST_AUTO_TEST_SUITE(the_fair_queue)
+
+BOOST_AUTO_TEST_CASE(gives_time_by_weight_whatever_the_costs_and_numbers)
+{
+    check_property("two busy accounts share executor time by their weights", [] {
+        const auto weight = *rc::gen::inRange<std::uint32_t>(1, 5);
+        const auto cost = *rc::gen::inRange<int>(1, 200);
+        fair_queue queue(100);
+        std::map<std::string, double> used;
+        std::uint64_t id = 0;
+        const auto fill = [&] {
+            while (queue.push(make_ticket(++id, "greedy"), {1, 1}, start))
+                ;
+            queue.push(make_ticket(++id, "small"), {weight, 1}, start);
+            queue.push(make_ticket(++id, "small"), {weight, 1}, start);
+        };
+        for (int i = 0; i < 600; ++i) {
+            fill();
+            const queue_ticket next = *queue.pop(start);
+            const double spent = next.account == "greedy" ? cost : 20;
+            queue.note_cost(next.account, next.job_class, spent);
+            used[next.account] += spent;
+        }
+        const double ratio = used["small"] / (used["greedy"] * weight);
+        RC_ASSERT(ratio > 0.8 && ratio < 1.25);
+    });
+}
+
+BOOST_AUTO_TEST_CASE(keeps_an_urgent_flood_inside_its_account)
+{
+    fair_queue queue(100);
+    std::uint64_t id = 0;
+    for (int i = 0; i < 100; ++i)
+        queue.push(make_ticket(++id, "flooding", "urgent"), {1, 100}, start);
+    for (int i = 0; i < 10; ++i)
+        queue.push(make_ticket(++id, "other", "batch"), {1, 1}, start);
+    int others = 0;
+    for (int i = 0; i < 20; ++i)
+        others += queue.pop(start)->account == "other";
+    BOOST_TEST(others >= 9);
+}
+
+BOOST_AUTO_TEST_CASE(is_bounded_and_drops_what_is_late)
+{
+    fair_queue queue(2);
+    BOOST_TEST(queue.push(make_ticket(1, "a"), {1, 1}, start));
+    BOOST_TEST(queue.push(make_ticket(2, "a"), {1, 1}, start));
+    BOOST_TEST(!queue.push(make_ticket(3, "a"), {1, 1}, start));
+    BOOST_TEST(queue.push(make_ticket(4, "b"), {1, 1}, start));
+    BOOST_TEST(queue.remove(2));
+    BOOST_TEST(queue.size() == 2U);
+    BOOST_TEST(!queue.pop(start + std::chrono::hours(2)).has_value());
+    BOOST_TEST(queue.size() == 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(shares_of_an_executors_slots)
+
+BOOST_AUTO_TEST_CASE(never_add_up_to_more_than_the_slots)
+{
+    check_property("entries that know the same beats divide all slots and no more", [] {
+        const auto demands =
+            *rc::gen::container<std::vector<std::uint32_t>>(6, rc::gen::inRange<std::uint32_t>(0, 200));
+        const auto slots = *rc::gen::inRange<std::uint32_t>(1, 64);
+        std::vector<entry_demand> entries;
+        for (std::size_t i = 0; i < demands.size(); ++i)
+            entries.push_back({100 + i, demands[i]});
+        std::uint32_t sum = 0;
+        for (const entry_demand& entry : entries) {
+            const std::uint32_t share = compute_share(slots, entries, entry.incarnation, 42);
+            RC_ASSERT(slots < entries.size() || share >= 1U);
+            sum += share;
+        }
+        RC_ASSERT(sum == slots);
+    });
+}
+
+BOOST_AUTO_TEST_CASE(rise_late_and_fall_at_once)
+{
+    executor_table table = make_table(1, 8);
+    BOOST_TEST(table.executors()[0].slot_share == 8U);
+    const steady_time later = start + std::chrono::seconds(20);
+    table.divide_slots({{1, 0}, {2, 0}}, 1, later);
+    BOOST_TEST(table.executors()[0].slot_share == 4U);
+    table.divide_slots({{1, 0}}, 1, later + milliseconds(100));
+    BOOST_TEST(table.executors()[0].slot_share == 4U);
+    table.divide_slots({{1, 0}}, 1, later + milliseconds(3'000));
+    BOOST_TEST(table.executors()[0].slot_share == 8U);
+}
+
+BOOST_AUTO_TEST_CASE(hold_against_more_work)
+{
+    executor_table table = make_table(2, 3);
+    int taken = 0;
+    while (table.take({}, start + std::chrono::seconds(20)))
+        ++taken;
+    BOOST_TEST(taken == 6);
+    BOOST_TEST(!table.has_room(start + std::chrono::seconds(20)));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(an_executor)
+
+BOOST_AUTO_TEST_CASE(that_leaves_gets_no_new_work)
+{
+    executor_table table = make_table(2, 8);
+    table.note_leaving({"e0"});
+    const steady_time now = start + std::chrono::seconds(20);
+    for (int i = 0; i < 8; ++i)
+        BOOST_TEST(*table.take({}, now) == 1U);
+    BOOST_TEST(!table.take({}, now).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(that_fails_everything_fast_is_set_aside)
+{
+    executor_table table = make_table(4, 8);
+    steady_time now = start + std::chrono::seconds(20);
+    int failed = 0;
+    for (int i = 0; i < 400; ++i) {
+        now += milliseconds(10);
+        const std::size_t chosen = *table.take({}, now);
+        const bool is_bad = chosen == 0;
+        failed += is_bad;
+        table.give_back("e" + std::to_string(chosen),
+                        is_bad ? exchange_outcome::failed_answer : exchange_outcome::answered, 5, now);
+    }
+    BOOST_TEST(failed <= 40);
+}
+
+BOOST_AUTO_TEST_CASE(in_the_own_zone_comes_first)
+{
+    executor_table table = make_table(2, 8);
+    BOOST_TEST(*table.take({}, start + std::chrono::seconds(20)) == 0U);
+    BOOST_TEST(*table.take({"e0"}, start + std::chrono::seconds(20)) == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_CASE(retries_stay_within_their_budget)
+{
+    retry_budget budget(0.1);
+    int retries = 0;
+    for (int i = 0; i < 1000; ++i) {
+        budget.note_request();
+        retries += budget.try_take();
+    }
+    BOOST_TEST(retries <= 102);
+    BOOST_TEST(retries >= 95);
+}
+
+BOOST_AUTO_TEST_CASE(a_process_restarted_at_the_same_address_is_another_member)
+{
+    member_table members(milliseconds(1'000));
+    Beat beat;
+    beat.set_address("10.0.0.1:1");
+    beat.set_role("entry");
+    beat.set_incarnation(1);
+    beat.set_configuration_version(7);
+    members.note_beat(beat, start);
+    beat.set_incarnation(2);
+    beat.set_configuration_version(0);
+    members.note_beat(beat, start + milliseconds(10));
+    BOOST_TEST(members.list_live("entry").size() == 1U);
+    BOOST_TEST(members.list_live("entry").front().beat.incarnation() == 2U);
+    BOOST_TEST(members.newest_version() == 7U);
+    BOOST_TEST(members.expire(start + milliseconds(1'500)) == 1U);
+    BOOST_TEST(members.largest_size("entry") == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace wigeon::test
--- /dev/null
+++ b/tests/scheduling/term_keeper_test.cpp
@@ -0,0 +1,191 @@
+// The term protocol over random schedules of pauses, delays and deaths, against the real replay of the log.
+
+#include <array>
+#include <deque>
+#include <optional>
+#include <random>
+
+#include "scheduling/term_keeper.h"
+#include "state/replicated_state.h"
+#include "support/property.h"
+
+namespace wigeon::test {
+
+namespace {
+
+constexpr milliseconds step_time{50};
+
+// Three schedulers on one log with delayed appends; each sees all that was appended.
+class term_model {
+public:
+    explicit term_model(std::uint64_t seed) : random(seed)
+    {
+        for (std::uint64_t i = 0; i < this->nodes.size(); ++i) {
+            term_options options;
+            options.claim_jitter = milliseconds(100 * i);
+            this->nodes[i].keeper.emplace(i + 1, options);
+        }
+    }
+
+    void step(milliseconds append_delay)
+    {
+        this->now += step_time;
+        while (!this->on_way.empty() && this->on_way.front().arrives <= this->now) {
+            const apply_result result =
+                this->log.apply(this->log.next_offset(), this->on_way.front().record.SerializeAsString());
+            this->on_way.pop_front();
+            node& author = this->nodes[result.author - 1];
+            author.results.push_back({this->now + this->draw_lag(), result.outcome == apply_outcome::applied});
+        }
+        this->views.push_back({this->now,
+                               {this->log.term(), this->log.holder(), this->log.renewal_offset(),
+                                milliseconds(this->log.term_lease_ms())}});
+        if (this->views.size() > 64)
+            this->views.pop_front();
+        for (std::uint64_t i = 0; i < this->nodes.size(); ++i)
+            this->run_node(i, append_delay);
+    }
+
+    void run_node(std::uint64_t index, milliseconds append_delay)
+    {
+        node& self = this->nodes[index];
+        if (self.is_paused || self.is_dead)
+            return;
+        // Each node sees the log, and the fate of its own records, with a lag of its own.
+        if (!self.results.empty() && self.results.front().first <= this->now) {
+            self.keeper->note_settled(self.results.front().second, this->now);
+            self.results.pop_front();
+        }
+        self.seen_at = std::max(self.seen_at, this->now - this->draw_lag());
+        term_view seen = this->views.front().second;
+        for (const auto& [time, view] : this->views) {
+            if (time <= self.seen_at)
+                seen = view;
+        }
+        self.keeper->note_log(seen, this->now, this->now);
+        const term_action action = self.keeper->decide(this->now);
+        if (action == term_action::nothing)
+            return;
+        Record record;
+        record.set_author(index + 1);
+        record.set_sequence(++self.sequence);
+        record.set_time_ms(1'000'000);
+        if (action == term_action::claim) {
+            record.mutable_claim()->set_term(self.keeper->term() + 1);
+            record.mutable_claim()->set_renewal_offset(self.keeper->known().renewal_offset);
+            record.mutable_claim()->set_lease_ms(static_cast<std::uint64_t>(self.keeper->choose_lease().count()));
+        }
+        else {
+            record.mutable_renewal()->set_term(self.keeper->term());
+            record.mutable_renewal()->set_lease_ms(static_cast<std::uint64_t>(self.keeper->choose_lease().count()));
+        }
+        self.keeper->note_sent(this->now);
+        this->on_way.push_back({this->now + append_delay, std::move(record)});
+    }
+
+    [[nodiscard]] int count_acting() const
+    {
+        int acting = 0;
+        for (const node& self : this->nodes)
+            acting += !self.is_paused && !self.is_dead && self.keeper->may_act(this->now);
+        return acting;
+    }
+
+    milliseconds draw_lag()
+    {
+        const auto longest = static_cast<std::uint64_t>(this->longest_lag.count());
+        return milliseconds(longest == 0 ? 0 : this->random() % longest);
+    }
+
+    struct node {
+        std::optional<term_keeper> keeper;
+        std::uint64_t sequence = 0;
+        bool is_paused = false;
+        bool is_dead = false;
+        std::deque<std::pair<steady_time, bool>> results; // When seen, and whether in force.
+        steady_time seen_at{};
+    };
+
+    struct delayed_record {
+        steady_time arrives;
+        Record record;
+    };
+
+    std::mt19937_64 random;
+    steady_time now{std::chrono::hours(1)};
+    replicated_state log;
+    std::array<node, 3> nodes;
+    std::deque<delayed_record> on_way;
+    std::deque<std::pair<steady_time, term_view>> views;
+    milliseconds longest_lag{0};
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(term_story)
+
+BOOST_AUTO_TEST_CASE(one_scheduler_acts_whatever_pauses_and_delays)
+{
+    check_property("at most one running scheduler may act, over 400 steps of 50 ms, appends of up to 3 s, 1 s of lag",
+                   [] {
+                       term_model model(*rc::gen::arbitrary<std::uint64_t>());
+                       const auto slowest = *rc::gen::inRange<std::uint64_t>(1, 3'000);
+                       model.longest_lag = milliseconds(*rc::gen::inRange<int>(0, 1'000));
+                       for (int i = 0; i < 400; ++i) {
+                           if (model.random() % 20 == 0)
+                               model.nodes[model.random() % 3].is_paused ^= true;
+                           model.step(milliseconds(model.random() % slowest));
+                           RC_ASSERT(model.count_acting() <= 1);
+                       }
+                   });
+}
+
+BOOST_AUTO_TEST_CASE(a_dead_holder_is_followed_within_its_time)
+{
+    term_model model(1);
+    for (int i = 0; i < 20; ++i)
+        model.step(milliseconds(50));
+    const std::uint64_t holder = model.log.holder();
+    BOOST_REQUIRE(holder != 0);
+    model.nodes[holder - 1].is_dead = true;
+    int steps = 0;
+    while (model.log.holder() == holder && steps < 200) {
+        model.step(milliseconds(50));
+        ++steps;
+    }
+    BOOST_TEST(steps * step_time.count() <= 2'000);
+}
+
+BOOST_AUTO_TEST_CASE(a_living_holder_keeps_the_term_on_a_log_that_takes_seconds)
+{
+    term_model model(2);
+    for (int i = 0; i < 100; ++i)
+        model.step(milliseconds(50));
+    const std::uint64_t before = model.log.term();
+    for (int i = 0; i < 400; ++i)
+        model.step(milliseconds(2'000));
+    int acting = 0;
+    for (int i = 0; i < 800; ++i) {
+        model.step(milliseconds(2'000));
+        acting += model.count_acting();
+    }
+    BOOST_TEST(model.log.term() - before <= 1U);
+    BOOST_TEST(acting == 800);
+}
+
+BOOST_AUTO_TEST_CASE(a_paused_holder_may_not_act_when_it_wakes)
+{
+    term_model model(3);
+    for (int i = 0; i < 40; ++i)
+        model.step(milliseconds(50));
+    const std::uint64_t holder = model.log.holder();
+    model.nodes[holder - 1].is_paused = true;
+    for (int i = 0; i < 100; ++i)
+        model.step(milliseconds(50));
+    BOOST_TEST(model.log.holder() != holder);
+    BOOST_TEST(!model.nodes[holder - 1].keeper->may_act(model.now));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace wigeon::test
--- a/tests/stand_ins/workers.cpp
+++ b/tests/stand_ins/workers.cpp
@@ -176,7 +176,7 @@
     std::mutex mutex;
     std::uint64_t term = 0;
     std::map<task_key, task> tasks;
-    std::map<task_key, task> past;      // Forgotten tasks, kept for /runs.
+    std::map<task_key, task> past; // Forgotten tasks, kept for /runs.
 };
 
 constexpr std::size_t server_threads = 16;
--- /dev/null
+++ b/tests/support/cluster.h
@@ -0,0 +1,131 @@
+// A whole system on loopback for one test: the stand-ins, the fault-injecting proxy in front of each outside
+// system, entries and schedulers. Ports are free ones, found at the start.
+
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "base/time.h"
+#include "support/process.h"
+#include "wigeon.pb.h"
+
+namespace wigeon::test {
+
+struct cluster_options {
+    int entries = 2;
+    int schedulers = 2;
+    int workers = 4;
+    int workers_per_rack = 2;
+    std::uint32_t accelerators = 8;
+    int executors = 2;
+    int slots = 8;
+    std::vector<std::string> entry_flags = {};
+    std::vector<std::string> scheduler_flags = {};
+    bool has_peer_proxy = false; // Routes between each pair of processes, so that one can be cut off.
+};
+
+struct http_reply {
+    int status = 0; // 0: no whole answer.
+    std::string body;
+    std::map<std::string, std::string> headers;
+};
+
+// One run of a task on a worker, in the worker's clock.
+struct task_run {
+    std::string job;
+    std::uint32_t attempt = 0;
+    std::uint32_t task = 0;
+    std::string worker;
+    std::uint64_t begin_ms = 0;
+    std::uint64_t end_ms = 0;
+    std::string state;
+};
+
+class cluster {
+public:
+    explicit cluster(cluster_options options);
+    ~cluster();
+
+    cluster(const cluster&) = delete;
+    cluster& operator=(const cluster&) = delete;
+
+    // The configuration that matches the stand-ins: accounts "large" and "small" without guarantees, classes
+    // "batch" (may borrow), "strict" (may not), "urgent".
+    [[nodiscard]] Configuration make_configuration() const;
+
+    // Publishes against the base version and waits until all processes have it in force.
+    void publish(const Configuration& configuration, std::uint64_t base_version = 0);
+    command_result publish_file(const std::string& subcommand, const std::string& json, std::uint64_t base_version);
+
+    // Runs wigeonctl with the log's address and these words.
+    command_result control(const std::vector<std::string>& words);
+
+    void start_entry(int index);
+    [[nodiscard]] int entry_count() const { return this->options.entries; }
+    void start_scheduler(int index);
+    process& entry(int index) { return this->entries.at(static_cast<std::size_t>(index)); }
+    process& scheduler(int index) { return this->schedulers.at(static_cast<std::size_t>(index)); }
+    process& platform() { return this->platform_process; }
+
+    // Sends a request to an entry's caller port.
+    [[nodiscard]] http_reply post(int entry, const std::string& path, const std::string& body,
+                                  const std::map<std::string, std::string>& headers = {},
+                                  milliseconds limit = milliseconds(15'000)) const;
+    [[nodiscard]] http_reply get(int entry, const std::string& path) const;
+
+    // A request that names account and class, with its id.
+    http_reply request(int entry, const std::string& id, const std::string& path,
+                       std::map<std::string, std::string> headers = {}) const;
+
+    // Submits a job and returns its id.
+    std::string submit(int entry, const JobRequest& job) const;
+    [[nodiscard]] Job read_job(int entry, const std::string& id) const;
+
+    // Field of the JSON at /v1/status of a scheduler, or nothing when it does not answer.
+    [[nodiscard]] std::string status(int scheduler, const std::string& field) const;
+    [[nodiscard]] int find_holder() const; // -1 when none is known.
+
+    // Value of a series at an entry's or scheduler's /metrics.
+    [[nodiscard]] double metric(const std::string& role, int index, const std::string& series) const;
+
+    // The configuration version in force at a process, from the header or status; 0 when it does not answer.
+    [[nodiscard]] std::uint64_t version_at(const std::string& role, int index) const;
+
+    [[nodiscard]] std::vector<task_run> read_runs() const;
+    [[nodiscard]] std::map<std::string, int> read_request_runs() const;
+    [[nodiscard]] std::string read_executor_loads() const;
+
+    void set_platform(const std::string& form) const; // e.g. "down=1"
+    void set_host_leaving(const std::string& id, bool is_leaving) const;
+    void set_worker(int worker, const std::string& form) const; // e.g. "hang=1"
+    void set_executor(const std::string& executor, const std::string& form) const;
+
+    // Sets a fault on the routes of "log:entry0", "log:scheduler1", "worker3", "executor0", "peers:entry0" or
+    // "all:log".
+    void set_fault(const std::string& route, const std::string& fault) const;
+
+    static void wait_until(const std::function<bool()>& condition, milliseconds limit, const std::string& what);
+
+private:
+    std::string list_peers(const std::string& name) const;
+    void wait_ready(const std::string& role, int index) const;
+    void post_form(int port, const std::string& path, const std::string& form) const;
+    std::vector<std::string> make_common_flags(const std::string& name);
+
+    cluster_options options;
+    std::string folder;
+    std::map<std::string, int> ports;               // By the name of what listens there.
+    std::map<std::string, std::vector<int>> routes; // Proxy ports by the name of the fault target.
+    process platform_process;
+    process workers_process;
+    process executors_process;
+    process proxy_process;
+    std::vector<process> entries;
+    std::vector<process> schedulers;
+};
+
+} // namespace wigeon::test
