--- a/libraries/placement/fleet_view.cpp
+++ b/libraries/placement/fleet_view.cpp
@@ -145,6 +145,18 @@
         this->room_of_worker[i].held += this->room_of_worker[i].free();
 }
 
+void fleet_view::reserve(const std::vector<task_choice>& blocks)
+{
+    for (const task_choice& block : blocks)
+        this->room_of_worker[block.worker].reserved += block.accelerators;
+}
+
+std::size_t fleet_view::find_worker_index(std::string_view id) const
+{
+    const auto found = this->index_of.find(id);
+    return found == this->index_of.end() ? this->room_of_worker.size() : found->second;
+}
+
 void fleet_view::mark_stopping(const placed_job& job)
 {
     for (const task_choice& task : job.tasks)
--- a/libraries/placement/fleet_view.h
+++ b/libraries/placement/fleet_view.h
@@ -53,6 +53,9 @@
     // Accelerators of the account's guarantee that no covered job of it uses, per worker.
     [[nodiscard]] const std::vector<std::uint32_t>& unused_guarantee(std::string_view account) const;
 
+    // Index of the worker in the layout, or the number of workers when it is not configured.
+    [[nodiscard]] std::size_t find_worker_index(std::string_view id) const;
+
     // Accelerators bound to the account, per worker.
     [[nodiscard]] const std::vector<std::uint32_t>& bound(std::string_view account) const;
 
@@ -65,6 +68,9 @@
     void hold(const std::vector<task_choice>& tasks);
     void hold_free(const index_range& group);
 
+    // Counts accelerators as bound that a decision of this round binds.
+    void reserve(const std::vector<task_choice>& blocks);
+
     // Marks a job on workers as being stopped.
     void mark_stopping(const placed_job& job);
 
--- a/libraries/placement/placement_policy.cpp
+++ b/libraries/placement/placement_policy.cpp
@@ -119,6 +119,21 @@
     return fill(workers, available, gang);
 }
 
+// The worker with the least room that can hold the whole gang.
+std::optional<std::vector<task_choice>> choose_worker(availability available, const gang_shape& gang)
+{
+    const std::size_t none = available.size();
+    std::size_t best = none;
+    for (std::size_t i = 0; i < available.size(); ++i) {
+        const bool fits = gang.needed[i] > 0 && available[i] / gang.needed[i] >= gang.tasks;
+        if (fits && (best == none || available[i] < available[best]))
+            best = i;
+    }
+    if (best == none)
+        return std::nullopt;
+    return fill(std::span(&best, 1), available, gang);
+}
+
 class best_fit : public placement_policy {
 public:
     [[nodiscard]] std::optional<std::vector<task_choice>> choose(const fleet_layout& layout, availability available,
@@ -128,13 +143,16 @@
     }
 };
 
-// Best fit from the smallest cell level upwards: a gang crosses a rack or a zone only when no
-// single one can hold it, whatever its adjacency would allow.
+// Best fit from the smallest cell level upwards: a gang crosses a worker, a rack or a zone only when no
+// single one can hold it, whatever its adjacency would allow. On each level, workers that are broken up
+// already come before whole ones.
 class nested_cells : public placement_policy {
 public:
     [[nodiscard]] std::optional<std::vector<task_choice>> choose(const fleet_layout& layout, availability available,
                                                                  const gang_shape& gang) const override
     {
+        if (auto chosen = choose_worker(available, gang))
+            return chosen;
         if (auto chosen = choose_tightest(layout.racks, available, gang))
             return chosen;
         if (gang.adjacency == ADJACENCY_RACK)
--- a/libraries/placement/planner.cpp
+++ b/libraries/placement/planner.cpp
@@ -148,6 +148,8 @@
             this->wait_for_reclaim(*entry.job, *soon);
             return true;
         }
+        if (this->options.has_rebinding && this->try_rebinding(*entry.job, needed))
+            return true;
         if (const choices after_reclaim = this->choose(*entry.job, needed, this->drop_unusable(unused))) {
             this->stop_borrowers(*entry.job, *after_reclaim, false);
             this->wait_for_reclaim(*entry.job, *after_reclaim);
@@ -156,6 +158,77 @@
         return entry.job_class->urgent() && this->try_urgent(entry, needed);
     }
 
+    // Moves an unused cell of the account to workers that are free and unbound, when the job fits there. The
+    // job is placed in the next round, on the state that holds the new binding.
+    bool try_rebinding(const Job& job, const amounts& needed)
+    {
+        const std::string& account = job.request().account();
+        const auto binding = this->state.bindings().find(account);
+        const Account* configured = find_account(this->state.configuration(), account);
+        if (binding == this->state.bindings().end() || this->rebound.contains(account))
+            return false;
+        for (int i = 0; i < binding->second.cells_size(); ++i) {
+            const BoundCell& cell = binding->second.cells(i);
+            if (!this->is_unused(account, cell))
+                continue;
+            const GuaranteedShape& shape = configured->guarantees(static_cast<int>(cell.shape()));
+            const choices moved = this->find_free_cell(shape);
+            if (!moved)
+                continue;
+            amounts available(needed.size());
+            for (const task_choice& block : *moved)
+                available[block.worker] = block.accelerators;
+            if (!this->choose(job, needed, available))
+                continue;
+            this->rebind(binding->second, i, *moved);
+            this->wait_for_reclaim(job, *moved);
+            return true;
+        }
+        return false;
+    }
+
+    bool is_unused(const std::string& account, const BoundCell& cell) const
+    {
+        const amounts& unused = this->view.unused_guarantee(account);
+        return std::all_of(cell.blocks().begin(), cell.blocks().end(), [&](const TaskPlacement& block) {
+            const std::size_t worker = this->view.find_worker_index(block.worker());
+            return worker < unused.size() && unused[worker] >= block.accelerators();
+        });
+    }
+
+    choices find_free_cell(const GuaranteedShape& shape) const
+    {
+        amounts available(this->view.rooms().size());
+        for (std::size_t i = 0; i < available.size(); ++i) {
+            const worker_room& room = this->view.rooms()[i];
+            available[i] = std::min(room.free(), room.capacity - std::min(room.capacity, room.reserved));
+        }
+        const fleet_layout& layout = this->view.layout();
+        // One block to a worker: what a worker has beyond one block does not count.
+        for (std::uint32_t& amount : available)
+            amount = amount >= shape.accelerators() ? shape.accelerators() : 0;
+        const amounts needed(available.size(), shape.accelerators());
+        const gang_shape gang{shape.workers(), shape.adjacency(), needed};
+        return this->policy.choose(layout, available, gang);
+    }
+
+    void rebind(const BindingState& binding, int cell, const std::vector<task_choice>& moved)
+    {
+        this->rebound.insert(binding.account());
+        this->view.reserve(moved);
+        BindGuarantee& bind = *this->result.decisions.emplace_back().mutable_bind();
+        bind.set_account(binding.account());
+        *bind.mutable_cells() = binding.cells();
+        bind.set_unmet_cells(binding.unmet_cells());
+        BoundCell& changed = *bind.mutable_cells(cell);
+        changed.clear_blocks();
+        for (const task_choice& block : moved) {
+            TaskPlacement* placement = changed.add_blocks();
+            placement->set_worker(this->view.layout().places[block.worker].worker->id());
+            placement->set_accelerators(block.accelerators);
+        }
+    }
+
     // An urgent job may stop its own account's covered jobs that are not urgent.
     bool try_urgent(const waiting_job& entry, const amounts& needed)
     {
@@ -260,8 +333,10 @@
                 this->result.wait_reasons[entry.job->id()] =
                     "does not fit the unused guarantee of its account, and its class may not borrow";
         }
+        const Job* oldest = this->options.has_backfill_hold ? this->find_oldest(waiting) : nullptr;
+        if (oldest != nullptr && !this->try_borrowing(*oldest))
+            this->hold_for(*oldest);
         std::map<std::string, std::size_t> next;
-        bool has_hold = !this->options.has_backfill_hold;
         while (true) {
             const std::string* account = nullptr;
             double least = 0;
@@ -278,14 +353,26 @@
             if (account == nullptr)
                 return;
             const waiting_job& entry = by_account[*account][next[*account]++];
-            if (!this->try_borrowing(entry) && !has_hold)
-                has_hold = this->hold_for(*entry.job);
+            if (entry.job != oldest)
+                this->try_borrowing(*entry.job);
         }
     }
 
-    bool try_borrowing(const waiting_job& entry)
+    // The oldest job that may borrow, once it has waited for the grace.
+    const Job* find_oldest(const std::vector<waiting_job>& waiting) const
+    {
+        const Job* oldest = nullptr;
+        for (const waiting_job& entry : waiting) {
+            const bool is_due = this->now_ms >= entry.job->accepted_at_ms() + this->options.backfill_grace_ms;
+            const bool is_older = oldest == nullptr || entry.job->accepted_at_ms() < oldest->accepted_at_ms();
+            if (entry.job_class->may_borrow() && is_due && is_older)
+                oldest = entry.job;
+        }
+        return oldest;
+    }
+
+    bool try_borrowing(const Job& job)
     {
-        const Job& job = *entry.job;
         const shape_key key = make_shape_key(job.request(), false);
         if (!this->failed_shapes.contains(key)) {
             const amounts needed = this->list_needed(job);
@@ -311,10 +398,8 @@
     }
 
     // Keeps smaller jobs out of the group that has the most room already and could hold the job when empty.
-    bool hold_for(const Job& job)
+    void hold_for(const Job& job)
     {
-        if (this->now_ms < job.accepted_at_ms() + this->options.backfill_grace_ms)
-            return false;
         const fleet_layout& layout = this->view.layout();
         const amounts needed = this->list_needed(job);
         const index_range whole{0, layout.places.size()};
@@ -341,11 +426,9 @@
                 best_share = share;
             }
         }
-        if (best == nullptr)
-            return false;
-        this->view.hold_free(*best);
-        // Shapes that failed before the hold fail after it as well, so the set stays valid.
-        return true;
+        // Shapes that failed before the hold fail after it as well, so the set of them stays valid.
+        if (best != nullptr)
+            this->view.hold_free(*best);
     }
 
     void place(const Job& job, const std::vector<task_choice>& tasks, bool is_covered)
@@ -370,6 +453,7 @@
     const std::uint64_t now_ms;
     plan& result;
     std::set<shape_key> failed_shapes;
+    std::set<std::string> rebound; // Accounts whose binding this round changes.
     std::set<std::string> stopped; // Jobs that this round stops.
 };
 
--- a/libraries/placement/planner.h
+++ b/libraries/placement/planner.h
@@ -21,9 +21,12 @@
 };
 
 struct planner_options {
-    // A borrowing job that waited for longer keeps the emptiest group of workers that could hold it from smaller ones.
+    // The oldest borrowing job, once it waited for longer, keeps the emptiest group of workers that could hold it
+    // from younger ones.
     std::uint64_t backfill_grace_ms = 30'000;
     bool has_backfill_hold = true;
+    // Moves an unused cell of a guarantee to free workers instead of stopping the borrowers on it.
+    bool has_rebinding = true;
     std::uint32_t quarantine_failures = 3;
     std::uint64_t quarantine_ms = 600'000;
 };
--- a/libraries/scheduling/gang_driver.cpp
+++ b/libraries/scheduling/gang_driver.cpp
@@ -55,6 +55,9 @@
 // Follows the log: new attempts appear, ended ones are forgotten by their workers.
 void gang_driver::refresh(const replicated_state& state, steady_time now)
 {
+    if (!this->is_first_refresh && this->refreshed_changes == state.placement_changes())
+        return;
+    this->refreshed_changes = state.placement_changes();
     std::erase_if(this->gangs, [&](const auto& entry) {
         const Job* job = state.find_job(entry.first);
         const bool is_current = job != nullptr && is_on_workers(job->state()) && job->attempt() == entry.second.attempt;
@@ -74,6 +77,9 @@
         if (!is_on_workers(job.state()))
             continue;
         gang& entry = this->gangs[id];
+        // A cancel changes what is due without a change of state.
+        if (job.is_cancel_requested())
+            entry.due_at = now;
         if (entry.attempt != job.attempt()) {
             entry = gang{};
             entry.attempt = job.attempt();
@@ -92,6 +98,7 @@
         if (entry.phase != job.state()) {
             entry.phase = job.state();
             entry.phase_since = now;
+            entry.due_at = now;
         }
     }
     this->is_first_refresh = false;
@@ -201,8 +208,10 @@
 {
     this->refresh(state, now);
     std::map<std::string, WorkerOrders> orders;
-    for (auto& [id, entry] : this->gangs)
-        this->order_gang(*state.find_job(id), entry, now, may_act, orders);
+    for (auto& [id, entry] : this->gangs) {
+        if (now >= entry.due_at)
+            this->order_gang(*state.find_job(id), entry, now, may_act, orders);
+    }
     for (auto& [worker, dropped] : this->forgotten) {
         if (!this->may_send(worker, now))
             continue;
@@ -211,12 +220,32 @@
         dropped.clear();
     }
     std::erase_if(this->forgotten, [](const auto& entry) { return entry.second.empty(); });
+    this->add_pings(state, now, orders);
+    if (orders.empty())
+        return {};
+    return this->finish_messages(state, now, orders);
+}
+
+void gang_driver::add_pings(const replicated_state& state, steady_time now, std::map<std::string, WorkerOrders>& orders)
+{
+    if (now < this->next_ping_scan)
+        return;
+    this->next_ping_scan = now + this->options.retry_interval;
     for (const Worker& worker : state.configuration().workers()) {
         const bool is_idle = now - this->contacts[worker.id()].sent_at >= this->options.ping_interval;
         if (is_idle && this->may_send(worker.id(), now))
             orders[worker.id()];
     }
-    return this->finish_messages(state, now, orders);
+}
+
+// A running gang waits for its next renewal; one that starts or stops is looked at in each round.
+milliseconds gang_driver::find_gang_interval(const gang& entry) const
+{
+    const bool is_steady =
+        entry.phase == JOB_RUNNING && std::all_of(entry.tasks.begin(), entry.tasks.end(), [](const task_view& task) {
+            return task.is_known && task.known == TASK_RUNNING && task.refusals == 0;
+        });
+    return is_steady ? this->options.retry_interval * 2 : milliseconds(0);
 }
 
 std::vector<worker_message> gang_driver::finish_messages(const replicated_state& state, steady_time now,
@@ -267,10 +296,12 @@
         this->fenced = true;
         return;
     }
-    const auto find_task = [this](const std::string& job, std::uint32_t attempt, std::uint32_t index) -> task_view* {
+    const auto find_task = [this, now](const std::string& job, std::uint32_t attempt,
+                                       std::uint32_t index) -> task_view* {
         const auto found = this->gangs.find(job);
         if (found == this->gangs.end() || found->second.attempt != attempt || index >= found->second.tasks.size())
             return nullptr;
+        found->second.due_at = now;
         return &found->second.tasks[index];
     };
     if (!is_answered) {
@@ -400,10 +431,13 @@
     decisions.push_back(std::move(decision));
 }
 
-std::vector<Decision> gang_driver::make_decisions(const replicated_state& state, steady_time now) const
+std::vector<Decision> gang_driver::make_decisions(const replicated_state& state, steady_time now)
 {
     std::vector<Decision> decisions;
-    for (const auto& [id, entry] : this->gangs) {
+    for (auto& [id, entry] : this->gangs) {
+        if (now < entry.due_at)
+            continue;
+        const std::size_t decided = decisions.size();
         const Job* job = state.find_job(id);
         if (job == nullptr || job->attempt() != entry.attempt)
             continue;
@@ -413,6 +447,8 @@
             this->decide_running(*job, entry, now, decisions);
         else if (job->state() == JOB_STOPPING)
             this->decide_stopping(*job, entry, now, decisions);
+        if (decisions.size() == decided)
+            entry.due_at = now + this->find_gang_interval(entry);
     }
     return decisions;
 }
--- a/libraries/scheduling/gang_driver.h
+++ b/libraries/scheduling/gang_driver.h
@@ -57,7 +57,7 @@
     void note_dropped(const std::string& worker);
 
     // Transitions that follow from the reports.
-    [[nodiscard]] std::vector<Decision> make_decisions(const replicated_state& state, steady_time now) const;
+    [[nodiscard]] std::vector<Decision> make_decisions(const replicated_state& state, steady_time now);
 
     // Workers without an answer for at least this long, among those that were asked.
     [[nodiscard]] std::vector<std::string> list_silent(steady_time now, milliseconds limit) const;
@@ -83,7 +83,7 @@
         steady_time phase_since{};
         bool is_adopted = false;  // Was on workers before this holder saw it.
         bool is_released = false; // A release went out: no task may be held anew.
-        bool is_checkpointed = false;
+        steady_time due_at{};     // When orders or decisions may be due next; an answer makes it sooner.
         std::vector<task_view> tasks;
     };
 
@@ -97,6 +97,8 @@
     };
 
     void refresh(const replicated_state& state, steady_time now);
+    void add_pings(const replicated_state& state, steady_time now, std::map<std::string, WorkerOrders>& orders);
+    [[nodiscard]] milliseconds find_gang_interval(const gang& entry) const;
     void order_gang(const Job& job, gang& entry, steady_time now, bool may_act,
                     std::map<std::string, WorkerOrders>& orders);
     [[nodiscard]] TaskAction choose_action(const Job& job, const gang& entry, const task_view& task, steady_time now,
@@ -115,6 +117,8 @@
     std::uint64_t term = 0;
     bool fenced = false;
     bool is_first_refresh = true;
+    std::uint64_t refreshed_changes = 0; // The state's placement_changes() at the newest refresh.
+    steady_time next_ping_scan{};
     std::map<std::string, gang> gangs;                       // By job id.
     std::map<std::string, worker_contact> contacts;          // By worker id.
     std::map<std::string, std::vector<TaskOrder>> forgotten; // Ended tasks that a worker may drop, by worker id.
--- a/libraries/scheduling/scheduler_loop.cpp
+++ b/libraries/scheduling/scheduler_loop.cpp
@@ -19,6 +19,7 @@
 // Without a change of the state, time alone may allow a placement: a quarantine ends, a worker comes back.
 constexpr milliseconds longest_plan_interval{500};
 constexpr std::uint64_t jitter_limit_ms = 300;
+constexpr std::uint32_t backfill_off_s = 86'400;
 
 term_options make_term_options(const SchedulerSettings& settings, std::uint64_t incarnation)
 {
@@ -50,6 +51,8 @@
     planner_options options;
     options.quarantine_failures = settings.quarantine_failures();
     options.quarantine_ms = std::uint64_t{settings.quarantine_s()} * 1000;
+    options.backfill_grace_ms = std::uint64_t{settings.backfill_grace_s()} * 1000;
+    options.has_backfill_hold = settings.backfill_grace_s() < backfill_off_s;
     return options;
 }
 
@@ -231,11 +234,11 @@
 {
     const milliseconds age = elapsed_ms(this->planned_at, now);
     const bool is_due = age >= longest_plan_interval ||
-                        (age >= shortest_plan_interval && current.next_offset() != this->planned_offset);
+                        (age >= shortest_plan_interval && current.placement_changes() != this->planned_changes);
     if (!is_due)
         return {};
     this->planned_at = now;
-    this->planned_offset = current.next_offset();
+    this->planned_changes = current.placement_changes();
     worker_set unreachable_now;
     for (std::string& worker : this->driver.list_silent(now, unreachable_after))
         unreachable_now.insert(std::move(worker));
--- a/libraries/scheduling/scheduler_loop.h
+++ b/libraries/scheduling/scheduler_loop.h
@@ -69,7 +69,7 @@
     std::optional<std::future<apply_result>> pending_term;
     std::optional<pending_decisions> pending;
     std::uint64_t driven_term = 0;
-    std::uint64_t planned_offset = 0; // The state's offset at the newest planning round.
+    std::uint64_t planned_changes = 0; // The state's placement_changes() at the newest planning round.
     steady_time planned_at{};
 
     mutable std::mutex shared_mutex;
--- a/libraries/state/replicated_state.h
+++ b/libraries/state/replicated_state.h
@@ -57,6 +57,8 @@
     [[nodiscard]] SystemState make_snapshot() const;
 
     [[nodiscard]] std::uint64_t next_offset() const { return this->next; }
+    // Rises with each record that a placement may depend on. Local: not part of the replicated state.
+    [[nodiscard]] std::uint64_t placement_changes() const { return this->changes; }
     [[nodiscard]] std::uint64_t log_time_ms() const { return this->log_time; }
     [[nodiscard]] std::uint64_t term() const { return this->current_term; }
     [[nodiscard]] std::uint64_t holder() const { return this->current_holder; }
@@ -94,6 +96,7 @@
     void forget_expired();
 
     std::uint64_t next = 0;
+    std::uint64_t changes = 0;
     std::uint64_t log_time = 0;     // Never falls.
     std::uint64_t current_term = 0; // Never falls.
     std::uint64_t current_holder = 0;
--- a/tests/experiments/fleet_maker.h
+++ b/tests/experiments/fleet_maker.h
@@ -14,11 +14,11 @@
 
 struct fleet_size {
     int workers = 50;
-    std::uint32_t accelerators = 8;      // Per worker.
+    std::uint32_t accelerators = 8; // Per worker.
     int workers_per_rack = 6;
     int zones = 4;
     int accounts = 4;
-    std::uint32_t guaranteed_cells = 1;  // Cells of two whole workers in one rack, per account.
+    std::uint32_t guaranteed_cells = 1; // Cells of two whole workers in one rack, per account.
 };
 
 Configuration make_fleet(const fleet_size& size);
@@ -28,8 +28,8 @@
 
 struct arrival {
     std::uint64_t at_ms = 0;
-    std::uint64_t run_ms = 0;            // The true time.
-    JobRequest job;                      // Declares up to ten times more or less.
+    std::uint64_t run_ms = 0; // The true time.
+    JobRequest job;           // Declares up to ten times more or less.
     bool is_cancelled = false;
     std::uint64_t cancel_at_ms = 0;
 };
@@ -39,7 +39,7 @@
     int jobs = 600;
     std::uint64_t span_ms = 24ULL * 3'600'000;
     double mean_run_ms = 2 * 3'600'000.0;
-    std::uint32_t largest_gang = 16;     // Accelerators.
+    std::uint32_t largest_gang = 16; // Accelerators.
 };
 
 // Poisson arrivals with bursts, mostly small jobs and some large gangs; the first account asks for half of all.
