--- a/tests/experiments/fleet_maker.cpp
+++ b/benchmarks/fleet_maker.cpp
@@ -1,6 +1,6 @@
 // Seeded fleets and arrivals.
 
-#include "experiments/fleet_maker.h"
+#include "benchmarks/fleet_maker.h"
 
 #include <algorithm>
 #include <cmath>
--- a/tests/experiments/measure_decisions.cpp
+++ b/benchmarks/measure_decisions.cpp
@@ -4,7 +4,7 @@
 #include <chrono>
 #include <cstdio>
 
-#include "experiments/fleet_maker.h"
+#include "benchmarks/fleet_maker.h"
 #include "placement/planner.h"
 #include "scheduling/gang_driver.h"
 
--- a/tests/experiments/measure_placement.cpp
+++ b/benchmarks/measure_placement.cpp
@@ -7,7 +7,7 @@
 #include <map>
 #include <queue>
 
-#include "experiments/fleet_maker.h"
+#include "benchmarks/fleet_maker.h"
 #include "placement/planner.h"
 #include "state/configuration.h"
 #include "state/job_rules.h"
--- a/libraries/base/settings.cpp
+++ b/libraries/base/settings.cpp
@@ -14,6 +14,7 @@
 
 #include <gflags/gflags.h>
 
+#include "base/network.h"
 #include "base/version.h"
 #include "wigeon.pb.h"
 
@@ -84,6 +85,14 @@
     return number;
 }
 
+void check_choice(const described_field& entry)
+{
+    const std::string& choices = entry.options.choices();
+    const std::vector<std::string> allowed = split_list(choices, '|');
+    if (!choices.empty() && std::find(allowed.begin(), allowed.end(), entry.value) == allowed.end())
+        fail("flag --" + entry.field->name() + ": '" + entry.value + "' is not one of " + choices);
+}
+
 void store(const described_field& entry)
 {
     const auto* reflection = entry.owner->GetReflection();
@@ -95,6 +104,7 @@
         reflection->SetDouble(entry.owner, entry.field, parse_number(entry));
         return;
     default:
+        check_choice(entry);
         if (entry.options.required() && entry.value.empty())
             fail("flag --" + entry.field->name() +
                  ": '' is not allowed, the flag is required: " + entry.options.help());
