--- a/benchmarks/measure_system.cpp
+++ b/benchmarks/measure_system.cpp
@@ -13,7 +13,7 @@
 
 #include "base/json.h"
 #include "benchmarks/fleet_maker.h"
-#include "platform/log_service.h"
+#include "outside/log_service.h"
 #include "replica/replica.h"
 #include "support/cluster.h"
 
--- a/libraries/entry/entry_maintenance.cpp
+++ b/libraries/entry/entry_maintenance.cpp
@@ -5,7 +5,7 @@
 #include <algorithm>
 
 #include "base/metrics.h"
-#include "platform/host_list.h"
+#include "outside/host_list.h"
 
 namespace wigeon {
 
--- a/libraries/platform/http_host_list.cpp
+++ b/libraries/outside/http_host_list.cpp
@@ -3,7 +3,7 @@
 #include <httplib.h>
 
 #include "base/network.h"
-#include "platform/host_list.h"
+#include "outside/host_list.h"
 #include "wigeon.pb.h"
 
 namespace wigeon {
--- a/libraries/platform/http_log_service.cpp
+++ b/libraries/outside/http_log_service.cpp
@@ -3,7 +3,7 @@
 #include <httplib.h>
 
 #include "base/network.h"
-#include "platform/log_service.h"
+#include "outside/log_service.h"
 
 namespace wigeon {
 
--- a/libraries/replica/record_appender.h
+++ b/libraries/replica/record_appender.h
@@ -17,7 +17,7 @@
 #include "base/adaptive_limit.h"
 #include "base/bounded_ring.h"
 #include "base/time.h"
-#include "platform/log_service.h"
+#include "outside/log_service.h"
 #include "state/replicated_state.h"
 #include "wigeon.pb.h"
 
--- a/libraries/replica/replica.h
+++ b/libraries/replica/replica.h
@@ -11,7 +11,7 @@
 #include <thread>
 
 #include "base/time.h"
-#include "platform/log_service.h"
+#include "outside/log_service.h"
 #include "replica/record_appender.h"
 #include "replica/record_history.h"
 #include "state/replicated_state.h"
--- a/libraries/scheduling/scheduler_loop.h
+++ b/libraries/scheduling/scheduler_loop.h
@@ -14,7 +14,7 @@
 #include <vector>
 
 #include "placement/planner.h"
-#include "platform/host_list.h"
+#include "outside/host_list.h"
 #include "replica/replica.h"
 #include "scheduling/gang_driver.h"
 #include "scheduling/renewal_relay.h"
