--- a/libraries/base/logging.cpp
+++ b/libraries/base/logging.cpp
@@ -3,6 +3,7 @@
 #include "base/logging.h"
 
 #include <memory>
+#include <thread>
 
 #include <log4cplus/consoleappender.h>
 #include <log4cplus/initializer.h>
@@ -10,18 +11,38 @@
 #include <log4cplus/logger.h>
 #include <log4cplus/loggingmacros.h>
 
+#include "base/bounded_ring.h"
 #include "base/json.h"
+#include "base/metrics.h"
 #include "base/time.h"
 
 namespace wigeon {
 
 namespace {
 
+// Holds some seconds of the busiest decisions of a leader.
+constexpr std::size_t ring_capacity = 4096;
+
+// Lines of one second that are written; a leader of 350 executors decides a few hundred times a second at most.
+constexpr std::uint32_t lines_per_second = 1'000;
+
+// How long the writer sleeps without a line before it looks whether it has to end.
+constexpr milliseconds writer_wait{1'000};
+
+// Lines on their way to the output.
+struct background_writer {
+    bounded_ring<std::string> ring{ring_capacity};
+    std::thread thread;
+    std::uint64_t window = 0; // The second that `in_window` counts; used by the logging thread only.
+    std::uint32_t in_window = 0;
+};
+
 struct log_target {
     log4cplus::Initializer initializer;
     log4cplus::Logger logger = log4cplus::Logger::getInstance("wigeon");
     std::string program;
     bool is_json = false;
+    std::unique_ptr<background_writer> writer; // None: lines are written by the caller.
 };
 
 log_target& find_target()
@@ -43,6 +64,54 @@
     target.logger.setLogLevel(log4cplus::INFO_LOG_LEVEL);
 }
 
+void start_background_logging(std::string_view program, std::string_view format)
+{
+    log_target& target = find_target();
+    target.program = program;
+    target.is_json = format == "json";
+    log4cplus::SharedAppenderPtr appender(new log4cplus::ConsoleAppender(false, true));
+    appender->setLayout(std::make_unique<log4cplus::PatternLayout>("%m%n"));
+    target.logger.addAppender(appender);
+    target.logger.setLogLevel(log4cplus::INFO_LOG_LEVEL);
+    target.writer = std::make_unique<background_writer>();
+    target.writer->thread = std::thread([&target] {
+        background_writer& writer = *target.writer;
+        while (true) {
+            const auto line = writer.ring.pop(writer_wait);
+            if (line)
+                LOG4CPLUS_INFO(target.logger, *line);
+            else if (writer.ring.is_closed())
+                return;
+        }
+    });
+}
+
+void stop_logging()
+{
+    log_target& target = find_target();
+    if (!target.writer)
+        return;
+    target.writer->ring.close();
+    target.writer->thread.join();
+    target.writer.reset();
+}
+
+namespace {
+
+void write_in_background(background_writer& writer, std::string line, std::uint64_t now_ms)
+{
+    constexpr std::uint64_t milliseconds_per_second = 1'000;
+    const std::uint64_t second = now_ms / milliseconds_per_second;
+    if (second != writer.window) {
+        writer.window = second;
+        writer.in_window = 0;
+    }
+    if (++writer.in_window > lines_per_second || !writer.ring.try_push(std::move(line)))
+        process_metrics().count("wigeon_log_lines_dropped_total");
+}
+
+} // namespace
+
 void log_change(std::string_view event, std::initializer_list<log_field> fields)
 {
     const log_target& target = find_target();
@@ -65,7 +134,10 @@
         for (const auto& [name, value] : fields)
             line += " " + std::string(name) + "=" + quote_json(value);
     }
-    LOG4CPLUS_INFO(target.logger, line);
+    if (target.writer)
+        write_in_background(*target.writer, std::move(line), read_wall_clock_ms());
+    else
+        LOG4CPLUS_INFO(target.logger, line);
 }
 
 } // namespace wigeon
--- a/libraries/base/network.h
+++ b/libraries/base/network.h
@@ -1,4 +1,4 @@
-// Addresses, identifiers and the small HTTP server that every program has for operators.
+// The small HTTP server that every program has for operators.
 
 #pragma once
 
@@ -13,23 +13,9 @@
 
 #include <httplib.h>
 
-namespace wigeon {
-
-struct host_port {
-    std::string host;
-    int port = 0;
-};
-
-// Throws error(malformed_request) unless the text is "host:port".
-host_port parse_address(std::string_view text);
+#include "base/address.h"
 
-std::vector<std::string> split_list(std::string_view text, char separator);
-
-// A random identifier that no other process start will draw again.
-std::uint64_t draw_incarnation();
-
-// Text in hexadecimal digits, for log lines and answers.
-std::string format_incarnation(std::uint64_t incarnation);
+namespace wigeon {
 
 // Connections of a server: each one occupies a thread while it is open, also when it is idle.
 struct connection_load {
--- a/libraries/base/time.h
+++ b/libraries/base/time.h
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <ctime>
 
 namespace wigeon {
 
@@ -17,6 +18,27 @@
     return std::chrono::steady_clock::now();
 }
 
+// A monotonic clock that also counts the time for which the host was suspended. Leases, proofs of freshness and
+// timeouts of decisions go by it: a host that wakes up must see how old its beliefs are.
+struct boot_clock {
+    using duration = milliseconds;
+    using rep = duration::rep;
+    using period = duration::period;
+    using time_point = std::chrono::time_point<boot_clock>;
+    static constexpr bool is_steady = true;
+
+    static time_point now()
+    {
+        timespec reading{};
+        clock_gettime(CLOCK_BOOTTIME, &reading);
+        constexpr long nanoseconds_per_millisecond = 1'000'000;
+        return time_point(std::chrono::seconds(reading.tv_sec) +
+                          milliseconds(reading.tv_nsec / nanoseconds_per_millisecond));
+    }
+};
+
+using boot_time = boot_clock::time_point;
+
 // Milliseconds since the Unix epoch, for records that other processes read.
 inline std::uint64_t read_wall_clock_ms()
 {
--- /dev/null
+++ b/libraries/dispatch/dispatcher.cpp
@@ -0,0 +1,487 @@
+// A round of decisions: slots are built from the book, waiting steps are sorted, placed, or given room.
+
+#include "dispatch/dispatcher.h"
+
+#include <algorithm>
+#include <memory>
+
+#include "jobs/job_table.h"
+
+namespace wigeon {
+
+namespace {
+
+// A job is of some use until this many times its objective has passed, as the users' contract has it.
+constexpr int last_use_factor = 3;
+
+// Between the hand-in and the first work, and between the last work and the state that callers see: two appends to the
+// store and two calls, 20 ms each.
+constexpr milliseconds path_time{150};
+
+// A reservation made by stopping others holds this long: the stop (at most 900 ms on the users' sites), the look that
+// shows the end, and one round.
+constexpr milliseconds reservation_time{1'500};
+
+// Wide units for which executors are kept free in one round; more would idle too much of the fleet.
+constexpr std::size_t reservation_limit = 2;
+
+// A unit of regular or background work gets executors kept free after it has waited this long.
+constexpr milliseconds reservation_wait{2'500};
+
+// An executor that failed this many tasks in a row, of at least two jobs, gets none for a while.
+constexpr std::uint32_t distrust_failures = 3;
+constexpr std::size_t distrust_jobs = 2;
+constexpr milliseconds distrust_time{8'000};
+
+// What a stop costs beside the work since the last checkpoint: the caller's wait, in core-seconds of an 8-accelerator
+// task.
+constexpr double stop_base_cost = 5.0;
+
+// Work that a checkpointing task loses at a stop, in seconds: its restore.
+constexpr double checkpoint_loss_s = 0.2;
+
+std::string_view find_name(work_rank rank)
+{
+    switch (rank) {
+    case work_rank::guaranteed_urgent:
+        return "guaranteed";
+    case work_rank::urgent:
+        return "urgent";
+    case work_rank::regular:
+        return "regular";
+    case work_rank::background:
+        return "background";
+    }
+    return "unknown";
+}
+
+std::int64_t count_accelerators(const records::Submission& submission)
+{
+    std::int64_t sum = 0;
+    for (const records::Step& step : submission.steps())
+        sum += static_cast<std::int64_t>(step.accelerators()) * std::max(1U, step.count());
+    return sum;
+}
+
+double to_seconds(milliseconds time)
+{
+    constexpr double milliseconds_per_second = 1000.0;
+    return static_cast<double>(time.count()) / milliseconds_per_second;
+}
+
+} // namespace
+
+dispatcher::dispatcher(const dispatch_bounds& limits, boot_time leading_since)
+    : bounds(limits), book(limits.longest_lease, leading_since), ledger(book, limits.stop_time)
+{
+}
+
+void dispatcher::set_policy(const fleet_policy& changed)
+{
+    this->policy = changed;
+    for (auto& [id, job] : this->ledger.jobs()) {
+        // A queue that was taken away keeps the terms under which its jobs were accepted.
+        if (const queue_policy* queue = this->policy.find_queue_by_name(job.submission.queue()))
+            job.policy = *queue;
+    }
+}
+
+void dispatcher::add_job(const std::string& id, const records::Submission& submission,
+                         const records::JobProgress& progress, std::uint64_t wall_ms, boot_time now)
+{
+    if (this->ledger.find(id) != nullptr)
+        return;
+    queue_policy terms;
+    if (const queue_policy* queue = this->policy.find_queue_by_name(submission.queue()))
+        terms = *queue;
+    // After a change of leader the age of a job is known by the wall clock only, which may have jumped.
+    constexpr std::int64_t longest_age_ms = 120'000;
+    const std::int64_t age_ms =
+        std::clamp<std::int64_t>(static_cast<std::int64_t>(wall_ms) - submission.submitted_ms(), 0, longest_age_ms);
+    job_run& job = this->ledger.add(id, submission, terms, progress, now);
+    job.arrived = now - milliseconds(age_ms);
+}
+
+void dispatcher::cancel_job(std::string_view id, boot_time now)
+{
+    this->ledger.cancel(id, now);
+}
+
+void dispatcher::update_executor(const executor_entry& entry, boot_time now)
+{
+    const executor* known = this->book.find(entry.id);
+    const bool is_reborn = this->book.update(entry, now);
+    if (known == nullptr)
+        this->book.find(entry.id)->used = this->ledger.sum_used(entry.id);
+    if (known != nullptr && is_reborn)
+        this->ledger.resolve_lost(entry.id, entry.born_ms, now);
+}
+
+void dispatcher::remove_executor(std::string_view id, boot_time now)
+{
+    this->book.remove(id, now);
+}
+
+void dispatcher::take_look(std::string_view executor_id, const look_report& report, boot_time sent_at, boot_time now)
+{
+    executor* source = this->book.find(executor_id);
+    if (source == nullptr)
+        return;
+    if (report.born_ms < source->entry.born_ms)
+        return;
+    if (report.born_ms > source->entry.born_ms) {
+        executor_entry reborn = source->entry;
+        reborn.born_ms = report.born_ms;
+        this->update_executor(reborn, now);
+        this->add_event("executor_reborn", {}, std::string(executor_id));
+    }
+    this->ledger.take_look(*source, report, sent_at, now);
+}
+
+void dispatcher::take_start_answer(const start_order& order, start_answer answer, boot_time now)
+{
+    if (answer != start_answer::accepted) {
+        const std::string_view why = answer == start_answer::unknown ? "no answer" : "refused";
+        this->add_event("start_failed", order.target.job,
+                        order.task + " on " + order.executor + ": " + std::string(why));
+    }
+    this->ledger.take_start_answer(order.target, answer, now);
+}
+
+void dispatcher::take_stop_answer(const stop_order& order, bool is_acknowledged, boot_time now)
+{
+    if (!order.target.job.empty())
+        this->ledger.take_stop_answer(order.target, is_acknowledged, now);
+}
+
+void dispatcher::add_event(std::string name, std::string job, std::string detail)
+{
+    this->events.push_back({std::move(name), std::move(job), std::move(detail)});
+}
+
+std::vector<dispatch_event> dispatcher::take_events()
+{
+    return std::exchange(this->events, {});
+}
+
+void dispatcher::build_slots(boot_time now)
+{
+    this->slots.clear();
+    this->slot_rows.clear();
+    for (const auto& [id, host] : this->book.all()) {
+        const bool is_fresh = host.last_look_sent && now - *host.last_look_sent <= this->bounds.look_age;
+        if (!host.is_listed || host.entry.is_draining || !host.is_reached || !is_fresh)
+            continue;
+        slot place;
+        place.executor = id;
+        place.pool = host.entry.pool;
+        place.rack = host.entry.rack;
+        place.labels = host.entry.labels;
+        place.room = host.entry.room;
+        place.free = host.free_room();
+        place.is_distrusted = host.distrusted_until && now < *host.distrusted_until;
+        this->slot_rows[place.executor] = this->slots.size();
+        this->slots.push_back(place);
+    }
+}
+
+milliseconds dispatcher::find_chain(const job_run& job) const
+{
+    // Steps wait for earlier ones only, so one pass finds the longest chain of what is not done.
+    std::vector<std::int64_t> chain(static_cast<std::size_t>(job.submission.steps_size()), 0);
+    std::int64_t longest = 0;
+    for (int row = 0; row < job.submission.steps_size(); ++row) {
+        const records::Step& step = job.submission.steps(row);
+        std::int64_t before = 0;
+        for (const std::uint32_t earlier : step.after()) {
+            if (earlier < chain.size())
+                before = std::max(before, chain[earlier]);
+        }
+        const bool is_done = std::any_of(job.steps.begin(), job.steps.end(), [row](const step_run& made) {
+            return made.step == static_cast<std::uint32_t>(row) && made.units_left == 0;
+        });
+        chain[static_cast<std::size_t>(row)] = before + (is_done ? 0 : step.estimate_ms());
+        longest = std::max(longest, chain[static_cast<std::size_t>(row)]);
+    }
+    return milliseconds(longest);
+}
+
+job_prospect dispatcher::find_prospect(const job_run& job, boot_time now) const
+{
+    static_cast<void>(now);
+    std::int64_t whole = 0;
+    for (const records::Step& step : job.submission.steps())
+        whole += step.estimate_ms();
+    job_prospect prospect;
+    prospect.rank = this->find_rank(job);
+    prospect.arrived = job.arrived;
+    prospect.chain = this->find_chain(job) + path_time;
+    const auto allowed =
+        milliseconds(static_cast<std::int64_t>(job.policy.stretch * static_cast<double>(whole))) + job.policy.target;
+    prospect.objective = job.arrived + allowed;
+    prospect.last_use = job.arrived + last_use_factor * allowed;
+    return prospect;
+}
+
+void dispatcher::count_urgent_demand()
+{
+    this->urgent_demand.clear();
+    for (const auto& [id, job] : this->ledger.jobs()) {
+        if (job.policy.priority == 0 && !is_final(job.phase))
+            this->urgent_demand[job.submission.account()] += count_accelerators(job.submission);
+    }
+}
+
+work_rank dispatcher::find_rank(const job_run& job) const
+{
+    if (job.policy.priority == 1)
+        return work_rank::regular;
+    if (job.policy.priority > 1)
+        return work_rank::background;
+    const account_policy* account = this->policy.find_account(job.submission.account());
+    const auto demand = this->urgent_demand.find(job.submission.account());
+    const bool is_guaranteed =
+        account != nullptr && demand != this->urgent_demand.end() && demand->second <= account->guaranteed_accelerators;
+    return is_guaranteed ? work_rank::guaranteed_urgent : work_rank::urgent;
+}
+
+std::vector<dispatcher::waiting_step> dispatcher::list_waiting(boot_time now)
+{
+    std::vector<waiting_step> waiting;
+    this->loads.clear();
+    for (auto& [id, job] : this->ledger.jobs()) {
+        if (is_final(job.phase))
+            continue;
+        std::optional<order_key> key;
+        waiting_load& load = this->loads[job.submission.queue()];
+        for (std::uint32_t row = 0; row < job.steps.size(); ++row) {
+            const step_run& step = job.steps[row];
+            const records::Step& kind = job.submission.steps(static_cast<int>(step.step));
+            if (step.waiting.empty()) {
+                load.running_accelerators +=
+                    static_cast<std::int64_t>(step.units_left) * kind.accelerators() * (kind.gang() ? kind.count() : 1);
+                continue;
+            }
+            if (!key)
+                key = find_order(this->find_prospect(job, now), now);
+            std::int64_t tasks = 0;
+            for (const std::uint32_t unit_row : step.waiting)
+                tasks += job.units[unit_row].task_count;
+            load.waiting_accelerators += tasks * kind.accelerators();
+            load.oldest_wait = std::max(load.oldest_wait, now - job.arrived);
+            waiting.push_back({&job, row, this->find_rank(job), *key, tasks * kind.accelerators()});
+        }
+    }
+    std::sort(waiting.begin(), waiting.end(), [](const waiting_step& left, const waiting_step& right) {
+        return std::tie(left.key, left.job->id, left.step_row) < std::tie(right.key, right.job->id, right.step_row);
+    });
+    return waiting;
+}
+
+std::vector<std::uint32_t> dispatcher::count_present(const job_run& job, const unit& part) const
+{
+    if (job.step_of(part).tasks_per_executor() == 0)
+        return {};
+    std::vector<std::uint32_t> present(this->slots.size(), 0);
+    for (const unit& other : job.units) {
+        if (other.step_run != part.step_run)
+            continue;
+        for (const member& task : other.members) {
+            const auto row = this->slot_rows.find(task.executor);
+            if (task.phase != member_phase::resolved && row != this->slot_rows.end())
+                ++present[row->second];
+        }
+    }
+    return present;
+}
+
+bool dispatcher::place_unit(const waiting_step& waiting, std::uint32_t unit_row, boot_time now)
+{
+    job_run& job = *waiting.job;
+    unit& part = job.units[unit_row];
+    const records::Step& step = job.step_of(part);
+    placement_need need;
+    need.pool = job.policy.pool;
+    need.each = find_need(step);
+    need.count = part.task_count;
+    need.same_rack = step.same_rack();
+    need.required_label = step.required_label();
+    need.data_rack = step.data_rack();
+    // Elsewhere the work takes several times as long; waiting for as long as the work itself costs less.
+    need.may_leave_data_rack = now - part.waiting_since > milliseconds(step.estimate_ms());
+    need.per_executor = step.tasks_per_executor();
+    const std::vector<std::uint32_t> present = this->count_present(job, part);
+    const std::unique_ptr<bool[]> avoided = std::make_unique<bool[]>(this->slots.size());
+    for (std::size_t row = 0; row < this->slots.size(); ++row)
+        avoided[row] = part.failed_on.contains(this->slots[row].executor);
+    const auto places = find_places(need, this->slots, present, {avoided.get(), this->slots.size()});
+    if (!places) {
+        this->make_room(waiting, unit_row, need, present, now);
+        return false;
+    }
+    std::vector<std::string> executors;
+    for (const std::size_t row : *places) {
+        this->slots[row].free -= need.each;
+        executors.emplace_back(this->slots[row].executor);
+    }
+    this->ledger.place(job, unit_row, executors, now);
+    std::string detail = "rank=" + std::string(find_name(waiting.rank)) + " run=" + std::to_string(part.run) +
+                         " step=" + std::to_string(job.steps[waiting.step_row].step) +
+                         " tasks=" + std::to_string(part.task_count) +
+                         " waited_ms=" + std::to_string((now - part.waiting_since).count()) + " on=";
+    for (const std::string& id : executors)
+        detail += id + " ";
+    this->add_event("placed", job.id, detail);
+    return true;
+}
+
+void dispatcher::keep_reservation(const unit& part, const resources& each)
+{
+    for (const std::string& id : part.reserved_on) {
+        const auto row = this->slot_rows.find(id);
+        if (row != this->slot_rows.end())
+            this->slots[row->second].free -= each;
+    }
+}
+
+// Stops others for urgent work, or keeps executors free for work that has waited long.
+void dispatcher::make_room(const waiting_step& waiting, std::uint32_t unit_row, const placement_need& need,
+                           std::span<const std::uint32_t> present, boot_time now)
+{
+    job_run& job = *waiting.job;
+    unit& part = job.units[unit_row];
+    if (!part.reserved_on.empty() && now - part.reserved_at < reservation_time) {
+        this->keep_reservation(part, need.each);
+        return;
+    }
+    part.reserved_on.clear();
+    const bool is_urgent = waiting.rank <= work_rank::urgent;
+    if (!is_urgent && (this->reservations >= reservation_limit || now - job.arrived < reservation_wait))
+        return;
+    std::vector<stoppable_unit> units;
+    std::vector<std::pair<job_run*, unit*>> owners;
+    for (auto& [id, other] : this->ledger.jobs()) {
+        const work_rank rank = this->find_rank(other);
+        if (rank <= waiting.rank)
+            continue;
+        for (unit& running : other.units) {
+            if (running.members.empty() || running.is_done || other.step_of(running).lasting())
+                continue;
+            const records::Step& step = other.step_of(running);
+            // Work without checkpoints is stopped for urgent work only.
+            if (!is_urgent && !step.checkpointing())
+                continue;
+            stoppable_unit candidate;
+            candidate.each = find_need(step);
+            bool is_stopping = false;
+            for (const member& task : running.members) {
+                const auto row = this->slot_rows.find(task.executor);
+                is_stopping = is_stopping || task.is_stop_wanted;
+                if (row != this->slot_rows.end() && task.phase != member_phase::resolved)
+                    candidate.rows.push_back(row->second);
+            }
+            const double elapsed = to_seconds(now - running.placed_at);
+            const double lost = step.checkpointing() ? std::min(elapsed, checkpoint_loss_s) : elapsed;
+            candidate.cost = is_stopping ? 0
+                                         : stop_base_cost + lost * measure_cores(candidate.each) *
+                                                                static_cast<double>(running.members.size());
+            units.push_back(std::move(candidate));
+            owners.emplace_back(&other, &running);
+        }
+    }
+    const auto plan = plan_preemption(need, this->slots, units, present);
+    if (!plan) {
+        if (is_urgent)
+            this->add_event("no_room", job.id, "rank=" + std::string(find_name(waiting.rank)));
+        return;
+    }
+    for (const std::size_t victim : plan->victims) {
+        auto& [owner, running] = owners[victim];
+        if (units[victim].cost == 0)
+            continue;
+        this->add_event("stopped_for", owner->id,
+                        "for=" + job.id + " rank=" + std::string(find_name(waiting.rank)) +
+                            " run=" + std::to_string(running->run) + " lost=" + std::to_string(units[victim].cost));
+        this->ledger.stop_unit(*owner, *running, now);
+    }
+    for (const std::size_t row : plan->places)
+        part.reserved_on.emplace_back(this->slots[row].executor);
+    part.reserved_at = now;
+    this->keep_reservation(part, need.each);
+    if (!is_urgent)
+        ++this->reservations;
+}
+
+void dispatcher::judge_executors(boot_time now)
+{
+    for (auto& [id, host] : this->book.all()) {
+        const bool is_suspect =
+            host.failures_in_row >= distrust_failures && host.ended_tasks_of_failures.size() >= distrust_jobs;
+        if (!is_suspect || (host.distrusted_until && now < *host.distrusted_until))
+            continue;
+        host.distrusted_until = now + distrust_time;
+        // One more failure afterwards is enough to distrust it again.
+        host.failures_in_row = distrust_failures - 1;
+        this->add_event("executor_distrusted", {}, id);
+    }
+}
+
+void dispatcher::decide(std::uint64_t wall_ms, boot_time now)
+{
+    this->ledger.resolve_lapsed(now);
+    for (auto& [id, job] : this->ledger.jobs())
+        this->ledger.open_due_occurrences(job, wall_ms, now);
+    this->judge_executors(now);
+    this->count_urgent_demand();
+    this->build_slots(now);
+    this->reservations = 0;
+    for (const waiting_step& waiting : this->list_waiting(now)) {
+        const std::vector<std::uint32_t> units = waiting.job->steps[waiting.step_row].waiting;
+        for (const std::uint32_t unit_row : units) {
+            if (!this->place_unit(waiting, unit_row, now))
+                break;
+        }
+    }
+}
+
+dispatch_changes dispatcher::collect_changes()
+{
+    dispatch_changes changes;
+    changes.starts = this->ledger.collect_planned_starts();
+    for (auto& [id, job] : this->ledger.jobs()) {
+        if (!job.is_changed)
+            continue;
+        changes.records.push_back({id, run_ledger::make_record(job)});
+        job.is_changed = false;
+    }
+    for (auto& [id, host] : this->book.all()) {
+        if (host.last_end_seen > host.last_end_noted)
+            changes.ends.push_back({id, host.entry.born_ms, host.last_end_seen});
+    }
+    return changes;
+}
+
+std::vector<start_order> dispatcher::confirm_changes(const dispatch_changes& changes, boot_time now)
+{
+    for (const dispatch_changes::noted_ends& noted : changes.ends) {
+        executor* host = this->book.find(noted.executor);
+        if (host != nullptr && host->entry.born_ms == noted.born_ms)
+            host->last_end_noted = std::max(host->last_end_noted, noted.last_end);
+    }
+    std::vector<start_order> wanted;
+    for (const start_order& order : changes.starts) {
+        if (this->ledger.release(order.target, now))
+            wanted.push_back(order);
+    }
+    this->ledger.drop_settled();
+    return wanted;
+}
+
+milliseconds dispatcher::estimate_wait(const queue_policy& queue, boot_time now) const
+{
+    static_cast<void>(now);
+    const auto load = this->loads.find(queue.name);
+    return load == this->loads.end() ? milliseconds(0) : load->second.oldest_wait;
+}
+
+} // namespace wigeon
--- /dev/null
+++ b/libraries/dispatch/executor_book.cpp
@@ -0,0 +1,102 @@
+// Bookkeeping of executors' lives, clocks and leases.
+
+#include "dispatch/executor_book.h"
+
+#include <algorithm>
+
+namespace wigeon {
+
+namespace {
+
+// An entry that is missing for this long after the store's return belongs to an executor that is gone.
+constexpr milliseconds listing_lag{2'000};
+
+// Beside the clock's error: what lies between the end of a lease and the end of its tasks.
+constexpr milliseconds lapse_margin{250};
+
+} // namespace
+
+executor_book::executor_book(milliseconds longest, boot_time since) : longest_lease(longest), leading_since(since) {}
+
+bool executor_book::update(const executor_entry& entry, boot_time now)
+{
+    const auto [place, is_new] = this->executors.try_emplace(entry.id);
+    executor& target = place->second;
+    target.is_listed = true;
+    target.unlisted_since.reset();
+    const bool is_reborn = !is_new && entry.born_ms > target.entry.born_ms;
+    if (is_new || entry.born_ms >= target.entry.born_ms)
+        target.entry = entry;
+    if (is_reborn) {
+        target.is_reached = false;
+        target.last_look_sent.reset();
+        target.clock_read_at.reset();
+        target.latest_deadline = milliseconds(0);
+        target.last_end_noted = 0;
+        target.last_end_seen = 0;
+        target.failures_in_row = 0;
+        target.ended_tasks_of_failures.clear();
+        target.distrusted_until.reset();
+    }
+    static_cast<void>(now);
+    return is_reborn;
+}
+
+void executor_book::remove(std::string_view id, boot_time now)
+{
+    executor* target = this->find(id);
+    if (target == nullptr || !target->is_listed)
+        return;
+    target->is_listed = false;
+    target->unlisted_since = now;
+}
+
+executor* executor_book::find(std::string_view id)
+{
+    const auto found = this->executors.find(id);
+    return found == this->executors.end() ? nullptr : &found->second;
+}
+
+const executor* executor_book::find(std::string_view id) const
+{
+    const auto found = this->executors.find(id);
+    return found == this->executors.end() ? nullptr : &found->second;
+}
+
+milliseconds executor_book::extend_lease(executor& target, boot_time now)
+{
+    // The executor's clock may be slow, so that this is its earliest possible reading; a lease is never too long by it.
+    const milliseconds passed = now - target.clock_read_at.value_or(now);
+    const milliseconds deadline = target.clock + passed + this->longest_lease;
+    target.latest_deadline = std::max(target.latest_deadline, deadline);
+    return target.latest_deadline;
+}
+
+boot_time executor_book::find_lapse(const executor& target) const
+{
+    if (!target.clock_read_at) {
+        // A former leader that lost the store may renew for as long as it leads; but not on an executor that is gone.
+        if (!target.is_listed)
+            return std::max(this->leading_since, target.unlisted_since.value_or(this->leading_since)) + listing_lag +
+                   outlast(this->longest_lease) + lapse_margin;
+        return this->leading_since + unconfirmed_leader_limit + outlast(this->longest_lease) + lapse_margin;
+    }
+    const milliseconds left = std::max(target.latest_deadline - target.clock, milliseconds(0));
+    return *target.clock_read_at + outlast(left) + lapse_margin;
+}
+
+void executor_book::take_report(executor& target, const look_report& report, boot_time sent_at, boot_time now)
+{
+    target.is_reached = true;
+    if (!target.last_look_sent || *target.last_look_sent < sent_at)
+        target.last_look_sent = sent_at;
+    // Answers may overtake each other; the clock never runs back.
+    if (!target.clock_read_at || report.clock >= target.clock) {
+        target.clock = report.clock;
+        target.clock_read_at = now;
+    }
+    for (const ended_task& ended : report.ended)
+        target.last_end_seen = std::max(target.last_end_seen, ended.number);
+}
+
+} // namespace wigeon
--- /dev/null
+++ b/libraries/dispatch/job_run.h
@@ -0,0 +1,93 @@
+// A job as the leader runs it: units of work, their runs and the members of each run.
+
+#pragma once
+
+#include <algorithm>
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "base/time.h"
+#include "dispatch/resources.h"
+#include "jobs.pb.h"
+#include "jobs/fleet_policy.h"
+
+namespace wigeon {
+
+enum class member_phase : std::uint8_t {
+    planned,  // Not in the store yet; nothing was sent.
+    ordered,  // The start was sent and has no answer yet.
+    running,  // Confirmed by an answer or a look.
+    in_doubt, // May run, or may be started later by an order on its way.
+    resolved, // Does not run and never will under this run number.
+};
+
+// One task of a unit's present run.
+struct member {
+    std::string executor;
+    std::uint64_t born_ms = 0; // The life of the executor that was chosen.
+    member_phase phase = member_phase::planned;
+    boot_time confirmed_at; // Looks sent before this need not show the task.
+    bool is_stop_wanted = false;
+    bool is_stop_on_way = false;
+    std::optional<boot_time> stop_tried_at;
+    std::optional<boot_time> stopped_at; // The stop was acknowledged: no order on its way can start it any more.
+    std::uint32_t percent = 0;
+};
+
+// One task, or all tasks of a gang: placed, run, failed and retried as one.
+struct unit {
+    std::uint32_t step_run = 0; // Row of job_run::steps.
+    std::uint32_t first_task = 0;
+    std::uint32_t task_count = 1;
+    std::uint32_t run = 0; // The highest run number given out; never reused.
+    std::uint32_t failures = 0;
+    bool is_done = false;
+    bool is_failure_counted = false; // Of the present run.
+    std::string checkpoint;
+    std::vector<member> members; // One a task; empty unless placed and not settled.
+    boot_time waiting_since;
+    boot_time placed_at;
+    std::set<std::string, std::less<>> failed_on; // Executors on which it failed.
+    std::vector<std::string> reserved_on;         // Executors kept for it, one a task; empty: none.
+    boot_time reserved_at;
+};
+
+// One occurrence of a step.
+struct step_run {
+    std::uint32_t occurrence = 0;
+    std::uint32_t step = 0;
+    std::uint32_t units_left = 0;       // Not done.
+    bool is_open = false;               // The steps that it waits for are done.
+    std::vector<std::uint32_t> waiting; // Units to be placed, when open.
+};
+
+struct job_run {
+    std::string id;
+    records::Submission submission;
+    queue_policy policy;
+    boot_time arrived;
+    std::vector<step_run> steps;
+    std::vector<unit> units;
+    std::uint32_t occurrences_made = 0;
+    records::JobPhase phase = records::JOB_PHASE_QUEUED;
+    bool is_changed = false;    // Since its last record.
+    std::size_t unresolved = 0; // Members that are not resolved.
+
+    [[nodiscard]] const records::Step& step_of(const unit& part) const
+    {
+        return this->submission.steps(static_cast<int>(this->steps[part.step_run].step));
+    }
+
+    [[nodiscard]] std::uint32_t occurrence_count() const { return std::max(1U, this->submission.occurrences()); }
+};
+
+inline resources find_need(const records::Step& step)
+{
+    return {static_cast<std::int64_t>(step.cpu_millicores()), static_cast<std::int64_t>(step.memory_mb()),
+            static_cast<std::int64_t>(step.accelerators())};
+}
+
+} // namespace wigeon
--- /dev/null
+++ b/libraries/dispatch/placement.h
@@ -0,0 +1,53 @@
+// Where a unit of work fits: packs tight, keeps whole executors and racks free for wide work. Answers a fleet whose
+// accelerators are short while its cores and memory are not always. Pure.
+
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "dispatch/resources.h"
+
+namespace wigeon {
+
+// An executor as placement sees it.
+struct slot {
+    std::string_view executor;
+    std::string_view pool;
+    std::string_view rack;
+    std::span<const std::string> labels;
+    resources room;             // All of it.
+    resources free;             // Not used and not reserved; may be negative.
+    bool is_distrusted = false; // Used only where nothing else would ever do.
+};
+
+struct placement_need {
+    std::string_view pool;
+    resources each;
+    std::uint32_t count = 1;
+    bool same_rack = false;
+    std::string_view required_label;
+    std::string_view data_rack;
+    bool may_leave_data_rack = false; // Far from its data it runs several times as long.
+    std::uint32_t per_executor = 0;   // At most this many tasks on one executor; 0: no bound.
+};
+
+// Tasks of the same step that an executor has already.
+using count_on_executor = std::span<const std::uint32_t>; // One a slot; empty: none anywhere.
+
+// Rows of slots, one a task, or nothing when the unit does not fit now. `avoided` has an entry a slot (or none at all):
+// such executors are taken only when no other fits.
+std::optional<std::vector<std::size_t>> find_places(const placement_need& need, std::span<const slot> slots,
+                                                    count_on_executor present, std::span<const bool> avoided);
+
+// Whether the unit would fit on these executors if they were empty.
+bool could_ever_fit(const placement_need& need, std::span<const slot> slots);
+
+// Whether the slot may take tasks of this need at all, whatever is free.
+bool is_eligible(const placement_need& need, const slot& place);
+
+} // namespace wigeon
--- /dev/null
+++ b/libraries/dispatch/resources.h
@@ -0,0 +1,65 @@
+// Amounts of what tasks take from an executor.
+
+#pragma once
+
+#include <algorithm>
+#include <cstdint>
+
+namespace wigeon {
+
+struct resources {
+    std::int64_t cpu_millicores = 0;
+    std::int64_t memory_mb = 0;
+    std::int64_t accelerators = 0;
+
+    resources& operator+=(const resources& other)
+    {
+        this->cpu_millicores += other.cpu_millicores;
+        this->memory_mb += other.memory_mb;
+        this->accelerators += other.accelerators;
+        return *this;
+    }
+
+    resources& operator-=(const resources& other)
+    {
+        this->cpu_millicores -= other.cpu_millicores;
+        this->memory_mb -= other.memory_mb;
+        this->accelerators -= other.accelerators;
+        return *this;
+    }
+
+    friend resources operator+(resources left, const resources& right) { return left += right; }
+    friend resources operator-(resources left, const resources& right) { return left -= right; }
+
+    [[nodiscard]] bool fits_in(const resources& room) const
+    {
+        return this->cpu_millicores <= room.cpu_millicores && this->memory_mb <= room.memory_mb &&
+               this->accelerators <= room.accelerators;
+    }
+
+    // How many tasks of this size the room holds; at most `most`.
+    [[nodiscard]] std::int64_t count_in(const resources& room, std::int64_t most) const
+    {
+        std::int64_t count = most;
+        if (this->cpu_millicores > 0)
+            count = std::min(count, room.cpu_millicores / this->cpu_millicores);
+        if (this->memory_mb > 0)
+            count = std::min(count, room.memory_mb / this->memory_mb);
+        if (this->accelerators > 0)
+            count = std::min(count, room.accelerators / this->accelerators);
+        return std::max<std::int64_t>(count, 0);
+    }
+};
+
+// An accelerator counts as this many cores in comparisons of work.
+constexpr std::int64_t cores_per_accelerator = 8; // From the platform's price of wasted work.
+
+// Size of a task in core equivalents.
+inline double measure_cores(const resources& amount)
+{
+    constexpr double millicores_per_core = 1000.0;
+    return static_cast<double>(amount.cpu_millicores) / millicores_per_core +
+           static_cast<double>(amount.accelerators * cores_per_accelerator);
+}
+
+} // namespace wigeon
--- /dev/null
+++ b/libraries/dispatch/run_ledger.cpp
@@ -0,0 +1,639 @@
+// Transitions of members, units and jobs.
+
+#include "dispatch/run_ledger.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "jobs/job_table.h"
+
+namespace wigeon {
+
+namespace {
+
+// A stop that was not acknowledged is sent again after this time: several times within the time for cancellations.
+constexpr milliseconds stop_retry_pause{400};
+
+// Lets what an executor wrote last reach a look.
+constexpr milliseconds stop_margin{50};
+
+bool is_wanted(const job_run& job)
+{
+    return !is_final(job.phase);
+}
+
+} // namespace
+
+run_ledger::run_ledger(executor_book& executors, milliseconds stop_takes) : book(executors), stop_time(stop_takes) {}
+
+job_run* run_ledger::find(std::string_view id)
+{
+    const auto found = this->runs.find(id);
+    return found == this->runs.end() ? nullptr : &found->second;
+}
+
+job_run& run_ledger::add(const std::string& id, const records::Submission& submission, const queue_policy& policy,
+                         const records::JobProgress& progress, boot_time now)
+{
+    const auto [place, is_new] = this->runs.try_emplace(id);
+    job_run& job = place->second;
+    if (!is_new)
+        return job;
+    job.id = id;
+    job.submission = submission;
+    job.policy = policy;
+    job.arrived = now;
+    job.phase = progress.phase();
+    std::uint32_t occurrences = submission.occurrences() == 0 ? 1 : 0;
+    for (const records::UnitProgress& saved : progress.units())
+        occurrences = std::max(occurrences, saved.occurrence() + 1);
+    for (std::uint32_t occurrence = 0; occurrence < occurrences; ++occurrence)
+        this->make_occurrence(job, occurrence, now);
+    for (const records::UnitProgress& saved : progress.units())
+        this->adopt_unit(job, saved, progress);
+    for (std::uint32_t occurrence = 0; occurrence < occurrences; ++occurrence)
+        this->open_steps(job, occurrence, now);
+    if (!is_wanted(job)) {
+        for (unit& part : job.units)
+            this->stop_unit(job, part, now);
+    }
+    return job;
+}
+
+void run_ledger::make_occurrence(job_run& job, std::uint32_t occurrence, boot_time now)
+{
+    for (int row = 0; row < job.submission.steps_size(); ++row) {
+        const records::Step& step = job.submission.steps(row);
+        step_run made;
+        made.occurrence = occurrence;
+        made.step = static_cast<std::uint32_t>(row);
+        const std::uint32_t tasks = std::max(1U, step.count());
+        made.units_left = step.gang() ? 1 : tasks;
+        const auto step_row = static_cast<std::uint32_t>(job.steps.size());
+        for (std::uint32_t index = 0; index < made.units_left; ++index) {
+            unit part;
+            part.step_run = step_row;
+            part.first_task = index;
+            part.task_count = step.gang() ? tasks : 1;
+            part.waiting_since = now;
+            job.units.push_back(std::move(part));
+        }
+        job.steps.push_back(std::move(made));
+    }
+    job.occurrences_made = occurrence + 1;
+}
+
+void run_ledger::open_due_occurrences(job_run& job, std::uint64_t wall_ms, boot_time now)
+{
+    if (!is_wanted(job))
+        return;
+    while (job.occurrences_made < job.occurrence_count()) {
+        const std::int64_t due = job.submission.first_due_ms() +
+                                 static_cast<std::int64_t>(job.occurrences_made) * job.submission.interval_ms();
+        if (static_cast<std::int64_t>(wall_ms) < due)
+            return;
+        const std::uint32_t occurrence = job.occurrences_made;
+        this->make_occurrence(job, occurrence, now);
+        this->open_steps(job, occurrence, now);
+    }
+}
+
+void run_ledger::open_steps(job_run& job, std::uint32_t occurrence, boot_time now)
+{
+    const auto is_step_done = [&job, occurrence](std::uint32_t step) {
+        return std::any_of(job.steps.begin(), job.steps.end(), [&](const step_run& other) {
+            return other.occurrence == occurrence && other.step == step && other.units_left == 0;
+        });
+    };
+    for (std::uint32_t row = 0; row < job.steps.size(); ++row) {
+        step_run& step = job.steps[row];
+        if (step.is_open || step.occurrence != occurrence)
+            continue;
+        const auto& needed = job.submission.steps(static_cast<int>(step.step)).after();
+        if (!std::all_of(needed.begin(), needed.end(), is_step_done))
+            continue;
+        step.is_open = true;
+        for (std::uint32_t unit_row = 0; unit_row < job.units.size(); ++unit_row) {
+            unit& part = job.units[unit_row];
+            if (part.step_run != row || part.is_done || !part.members.empty())
+                continue;
+            part.waiting_since = now;
+            step.waiting.push_back(unit_row);
+        }
+    }
+}
+
+void run_ledger::adopt_unit(job_run& job, const records::UnitProgress& saved, const records::JobProgress& progress)
+{
+    std::uint32_t member_index = 0;
+    unit* part = this->find_unit(job, {saved.occurrence(), saved.step(), saved.first_task()}, member_index);
+    if (part == nullptr)
+        return;
+    part->run = saved.run();
+    part->failures = saved.failures();
+    part->checkpoint = saved.checkpoint();
+    if (saved.done()) {
+        part->is_done = true;
+        --job.steps[part->step_run].units_left;
+    }
+    if (saved.placed_on_size() != static_cast<int>(part->task_count))
+        return;
+    const auto unit_row = static_cast<std::uint32_t>(part - job.units.data());
+    const resources need = find_need(job.step_of(*part));
+    for (const std::uint32_t row : saved.placed_on()) {
+        member task;
+        if (static_cast<int>(row) < progress.executors_size()) {
+            task.executor = progress.executors(static_cast<int>(row)).id();
+            task.born_ms = progress.executors(static_cast<int>(row)).born_ms();
+        }
+        task.phase = member_phase::in_doubt;
+        const auto index = static_cast<std::uint32_t>(part->members.size());
+        this->index_member({job.id, unit_row, index, part->run}, task.executor);
+        if (executor* host = this->book.find(task.executor))
+            host->used += need;
+        ++job.unresolved;
+        part->members.push_back(std::move(task));
+    }
+}
+
+void run_ledger::index_member(const member_reference& target, const std::string& executor_id)
+{
+    this->by_executor[executor_id].push_back(target);
+}
+
+unit* run_ledger::find_unit(job_run& job, const task_place& place, std::uint32_t& member_index)
+{
+    for (unit& part : job.units) {
+        const step_run& step = job.steps[part.step_run];
+        if (step.occurrence != place.occurrence || step.step != place.step)
+            continue;
+        if (place.index < part.first_task || place.index >= part.first_task + part.task_count)
+            continue;
+        member_index = place.index - part.first_task;
+        return &part;
+    }
+    return nullptr;
+}
+
+member* run_ledger::find_member(const member_reference& target, job_run*& job, unit*& part)
+{
+    job = this->find(target.job);
+    if (job == nullptr || target.unit >= job->units.size())
+        return nullptr;
+    part = &job->units[target.unit];
+    if (part->run != target.run || target.member >= part->members.size())
+        return nullptr;
+    return &part->members[target.member];
+}
+
+void run_ledger::place(job_run& job, std::uint32_t unit_row, std::span<const std::string> executors, boot_time now)
+{
+    unit& part = job.units[unit_row];
+    ++part.run;
+    part.is_failure_counted = false;
+    part.placed_at = now;
+    part.reserved_on.clear();
+    std::erase(job.steps[part.step_run].waiting, unit_row);
+    const resources need = find_need(job.step_of(part));
+    for (const std::string& id : executors) {
+        executor* host = this->book.find(id);
+        host->used += need;
+        member task;
+        task.executor = id;
+        task.born_ms = host->entry.born_ms;
+        this->index_member({job.id, unit_row, static_cast<std::uint32_t>(part.members.size()), part.run}, id);
+        ++job.unresolved;
+        part.members.push_back(std::move(task));
+    }
+    if (job.phase == records::JOB_PHASE_QUEUED)
+        job.phase = records::JOB_PHASE_RUNNING;
+    job.is_changed = true;
+}
+
+void run_ledger::stop_unit(job_run& job, unit& part, boot_time now)
+{
+    for (std::size_t row = 0; row < part.members.size(); ++row) {
+        this->want_stop(job, part, part.members[row], now);
+        // Settled when the last member was resolved.
+        if (part.members.empty())
+            return;
+    }
+}
+
+void run_ledger::want_stop(job_run& job, unit& part, member& task, boot_time now)
+{
+    if (task.phase == member_phase::resolved)
+        return;
+    task.is_stop_wanted = true;
+    if (task.phase == member_phase::planned)
+        this->resolve(job, part, task, now);
+}
+
+bool run_ledger::release(const member_reference& target, boot_time now)
+{
+    job_run* job = nullptr;
+    unit* part = nullptr;
+    member* task = this->find_member(target, job, part);
+    if (task == nullptr || task->phase != member_phase::planned)
+        return false;
+    task->phase = member_phase::ordered;
+    task->confirmed_at = now;
+    return true;
+}
+
+void run_ledger::take_start_answer(const member_reference& target, start_answer answer, boot_time now)
+{
+    job_run* job = nullptr;
+    unit* part = nullptr;
+    member* task = this->find_member(target, job, part);
+    if (task == nullptr || task->phase == member_phase::resolved)
+        return;
+    switch (answer) {
+    case start_answer::accepted:
+        if (task->phase == member_phase::ordered)
+            task->phase = member_phase::running;
+        task->confirmed_at = now;
+        return;
+    case start_answer::refused:
+    case start_answer::refused_for_room:
+        if (task->phase == member_phase::ordered)
+            this->resolve(*job, *part, *task, now);
+        return;
+    case start_answer::unknown:
+        task->phase = member_phase::in_doubt;
+        task->confirmed_at = now;
+        this->stop_unit(*job, *part, now);
+        return;
+    }
+}
+
+void run_ledger::take_stop_answer(const member_reference& target, bool is_acknowledged, boot_time now)
+{
+    job_run* job = nullptr;
+    unit* part = nullptr;
+    member* task = this->find_member(target, job, part);
+    if (task == nullptr)
+        return;
+    task->is_stop_on_way = false;
+    if (is_acknowledged && !task->stopped_at)
+        task->stopped_at = now;
+}
+
+// Frees the member's room. The unit settles when it was the last one; the other members of a gang have to end too.
+void run_ledger::resolve(job_run& job, unit& part, member& task, boot_time now)
+{
+    if (task.phase == member_phase::resolved)
+        return;
+    task.phase = member_phase::resolved;
+    --job.unresolved;
+    if (executor* host = this->book.find(task.executor))
+        host->used -= find_need(job.step_of(part));
+    const auto unit_row = static_cast<std::uint32_t>(&part - job.units.data());
+    const auto member_row = static_cast<std::uint32_t>(&task - part.members.data());
+    const auto indexed = this->by_executor.find(task.executor);
+    if (indexed != this->by_executor.end()) {
+        std::erase_if(indexed->second, [&](const member_reference& other) {
+            return other.job == job.id && other.unit == unit_row && other.member == member_row;
+        });
+    }
+    const bool is_settled = std::all_of(part.members.begin(), part.members.end(),
+                                        [](const member& other) { return other.phase == member_phase::resolved; });
+    if (is_settled) {
+        this->settle(job, part, now);
+        return;
+    }
+    if (!part.is_done) {
+        for (std::size_t row = 0; row < part.members.size(); ++row) {
+            this->want_stop(job, part, part.members[row], now);
+            if (part.members.empty())
+                return;
+        }
+    }
+}
+
+void run_ledger::settle(job_run& job, unit& part, boot_time now)
+{
+    part.members.clear();
+    job.is_changed = true;
+    if (part.is_done || !is_wanted(job))
+        return;
+    part.waiting_since = now;
+    job.steps[part.step_run].waiting.push_back(static_cast<std::uint32_t>(&part - job.units.data()));
+}
+
+void run_ledger::finish_unit(job_run& job, unit& part, boot_time now)
+{
+    if (part.is_done)
+        return;
+    part.is_done = true;
+    job.is_changed = true;
+    step_run& step = job.steps[part.step_run];
+    std::erase(step.waiting, static_cast<std::uint32_t>(&part - job.units.data()));
+    if (--step.units_left > 0)
+        return;
+    this->open_steps(job, step.occurrence, now);
+    const bool is_complete =
+        job.occurrences_made >= job.occurrence_count() &&
+        std::all_of(job.steps.begin(), job.steps.end(), [](const step_run& other) { return other.units_left == 0; });
+    if (is_complete && is_wanted(job))
+        this->end_job(job, records::JOB_PHASE_COMPLETED, now);
+}
+
+void run_ledger::end_job(job_run& job, records::JobPhase phase, boot_time now)
+{
+    job.phase = phase;
+    job.is_changed = true;
+    for (step_run& step : job.steps)
+        step.waiting.clear();
+    for (unit& part : job.units) {
+        if (!part.is_done)
+            this->stop_unit(job, part, now);
+    }
+}
+
+void run_ledger::cancel(std::string_view id, boot_time now)
+{
+    job_run* job = this->find(id);
+    if (job != nullptr && is_wanted(*job))
+        this->end_job(*job, records::JOB_PHASE_CANCELLED, now);
+}
+
+void run_ledger::note_failure(job_run& job, unit& part, executor& source, boot_time now)
+{
+    if (part.is_failure_counted || part.is_done)
+        return;
+    part.is_failure_counted = true;
+    part.failed_on.insert(source.entry.id);
+    job.is_changed = true;
+    if (job.step_of(part).lasting())
+        return;
+    ++part.failures;
+    if (part.failures >= job.policy.max_attempts && is_wanted(job))
+        this->end_job(job, records::JOB_PHASE_FAILED, now);
+}
+
+void run_ledger::take_end(executor& source, const ended_task& ended, boot_time now)
+{
+    const auto name = parse_task_name(ended.task);
+    if (!name)
+        return;
+    job_run* job = this->find(name->job);
+    if (job == nullptr)
+        return;
+    std::uint32_t member_index = 0;
+    unit* part = this->find_unit(*job, name->place, member_index);
+    if (part == nullptr)
+        return;
+    const bool is_lasting = job->step_of(*part).lasting();
+    if (ended.ending == run_ending::done && !is_lasting) {
+        source.failures_in_row = 0;
+        source.ended_tasks_of_failures.clear();
+        const bool was_done = part->is_done;
+        this->finish_unit(*job, *part, now);
+        // An earlier run may turn out to be done only now.
+        if (!was_done && ended.run != part->run)
+            this->stop_unit(*job, *part, now);
+    }
+    if (ended.run != part->run || member_index >= part->members.size())
+        return;
+    member& task = part->members[member_index];
+    if (task.executor != source.entry.id || task.phase == member_phase::resolved)
+        return;
+    if (!ended.checkpoint.empty() && ended.ending != run_ending::done)
+        part->checkpoint = ended.checkpoint;
+    if (ended.ending == run_ending::failed) {
+        ++source.failures_in_row;
+        source.ended_tasks_of_failures.insert(job->id);
+        this->note_failure(*job, *part, source, now);
+    }
+    if (!part->members.empty())
+        this->resolve(*job, *part, part->members[member_index], now);
+}
+
+void run_ledger::take_running(const executor& source, const running_task& shown, std::uint64_t born_ms,
+                              boot_time sent_at, boot_time now)
+{
+    const auto name = parse_task_name(shown.task);
+    job_run* job = name ? this->find(name->job) : nullptr;
+    std::uint32_t member_index = 0;
+    unit* part = job != nullptr ? this->find_unit(*job, name->place, member_index) : nullptr;
+    const bool is_known = part != nullptr && part->run == shown.run && member_index < part->members.size() &&
+                          part->members[member_index].executor == source.entry.id &&
+                          part->members[member_index].phase != member_phase::resolved;
+    if (!is_known) {
+        // A stop of a run that has ended in the meantime does no harm.
+        stop_order stray{{}, source.entry.id, shown.task};
+        stray.target.run = shown.run;
+        this->stray_stops.push_back(std::move(stray));
+        return;
+    }
+    member& task = part->members[member_index];
+    task.born_ms = born_ms;
+    task.percent = shown.percent;
+    if (task.phase != member_phase::planned)
+        task.phase = member_phase::running;
+    task.confirmed_at = std::max(task.confirmed_at, sent_at);
+    if (!shown.checkpoint.empty())
+        part->checkpoint = shown.checkpoint;
+    if (!is_wanted(*job))
+        this->want_stop(*job, *part, task, now);
+}
+
+void run_ledger::take_look(executor& source, const look_report& report, boot_time sent_at, boot_time now)
+{
+    for (const ended_task& ended : report.ended) {
+        if (ended.number > source.last_end_seen)
+            this->take_end(source, ended, now);
+    }
+    for (const running_task& shown : report.running)
+        this->take_running(source, shown, report.born_ms, sent_at, now);
+    this->book.take_report(source, report, sent_at, now);
+
+    const auto indexed = this->by_executor.find(source.entry.id);
+    if (indexed == this->by_executor.end())
+        return;
+    const std::vector<member_reference> expected = indexed->second;
+    for (const member_reference& target : expected) {
+        job_run* job = nullptr;
+        unit* part = nullptr;
+        member* task = this->find_member(target, job, part);
+        if (task == nullptr || task->phase == member_phase::planned || task->phase == member_phase::resolved)
+            continue;
+        const bool is_shown = std::any_of(report.running.begin(), report.running.end(), [&](const running_task& shown) {
+            return shown.run == target.run &&
+                   shown.task ==
+                       make_task_name(target.job, {job->steps[part->step_run].occurrence,
+                                                   job->steps[part->step_run].step, part->first_task + target.member});
+        });
+        if (is_shown || task->phase == member_phase::ordered)
+            continue;
+        // Neither running nor ended. A stop shuts out orders that are still on their way.
+        if (task->stopped_at && sent_at > *task->stopped_at + this->stop_time + stop_margin)
+            this->resolve(*job, *part, *task, now);
+        else if (sent_at > task->confirmed_at)
+            this->stop_unit(*job, *part, now);
+    }
+}
+
+void run_ledger::resolve_lost(std::string_view executor_id, std::uint64_t born_before_ms, boot_time now)
+{
+    const auto indexed = this->by_executor.find(executor_id);
+    if (indexed == this->by_executor.end())
+        return;
+    const std::vector<member_reference> lost = indexed->second;
+    for (const member_reference& target : lost) {
+        job_run* job = nullptr;
+        unit* part = nullptr;
+        member* task = this->find_member(target, job, part);
+        if (task == nullptr || task->born_ms >= born_before_ms)
+            continue;
+        // An order on its way may still reach the new life; its answer or a look will tell.
+        if (task->phase == member_phase::running || task->phase == member_phase::in_doubt)
+            this->resolve(*job, *part, *task, now);
+    }
+}
+
+void run_ledger::resolve_lapsed(boot_time now)
+{
+    std::vector<std::string> lapsed;
+    for (const auto& [id, members] : this->by_executor) {
+        if (members.empty())
+            continue;
+        const executor* host = this->book.find(id);
+        if (host == nullptr) {
+            executor unknown;
+            unknown.is_listed = false;
+            if (now > this->book.find_lapse(unknown))
+                lapsed.push_back(id);
+            continue;
+        }
+        if (now > this->book.find_lapse(*host))
+            lapsed.push_back(id);
+    }
+    for (const std::string& id : lapsed) {
+        const std::vector<member_reference> members = this->by_executor[id];
+        for (const member_reference& target : members) {
+            job_run* job = nullptr;
+            unit* part = nullptr;
+            member* task = this->find_member(target, job, part);
+            if (task != nullptr && task->phase != member_phase::planned && task->phase != member_phase::ordered)
+                this->resolve(*job, *part, *task, now);
+        }
+    }
+}
+
+std::vector<stop_order> run_ledger::collect_stops(boot_time now)
+{
+    std::vector<stop_order> orders = std::move(this->stray_stops);
+    this->stray_stops.clear();
+    for (const auto& [executor_id, members] : this->by_executor) {
+        for (const member_reference& target : members) {
+            job_run* job = nullptr;
+            unit* part = nullptr;
+            member* task = this->find_member(target, job, part);
+            if (task == nullptr || !task->is_stop_wanted || task->is_stop_on_way || task->stopped_at)
+                continue;
+            if (task->phase == member_phase::planned || task->phase == member_phase::resolved)
+                continue;
+            if (task->stop_tried_at && now - *task->stop_tried_at < stop_retry_pause)
+                continue;
+            task->is_stop_on_way = true;
+            task->stop_tried_at = now;
+            const step_run& step = job->steps[part->step_run];
+            orders.push_back({target, executor_id,
+                              make_task_name(job->id, {step.occurrence, step.step, part->first_task + target.member})});
+        }
+    }
+    return orders;
+}
+
+std::vector<start_order> run_ledger::collect_planned_starts()
+{
+    std::vector<start_order> orders;
+    for (const auto& [id, job] : this->runs) {
+        if (!job.is_changed)
+            continue;
+        for (std::uint32_t unit_row = 0; unit_row < job.units.size(); ++unit_row) {
+            const unit& part = job.units[unit_row];
+            for (std::uint32_t row = 0; row < part.members.size(); ++row) {
+                const member& task = part.members[row];
+                if (task.phase != member_phase::planned)
+                    continue;
+                const step_run& step = job.steps[part.step_run];
+                orders.push_back({{id, unit_row, row, part.run},
+                                  task.executor,
+                                  task.born_ms,
+                                  make_task_name(id, {step.occurrence, step.step, part.first_task + row}),
+                                  job.submission.payload(),
+                                  part.checkpoint});
+            }
+        }
+    }
+    return orders;
+}
+
+records::JobProgress run_ledger::make_record(const job_run& job)
+{
+    records::JobProgress record;
+    record.set_phase(job.phase);
+    std::map<std::pair<std::string, std::uint64_t>, std::uint32_t> rows;
+    for (const unit& part : job.units) {
+        if (part.run == 0)
+            continue;
+        records::UnitProgress& saved = *record.add_units();
+        saved.set_occurrence(job.steps[part.step_run].occurrence);
+        saved.set_step(job.steps[part.step_run].step);
+        saved.set_first_task(part.first_task);
+        saved.set_run(part.run);
+        saved.set_failures(part.failures);
+        saved.set_done(part.is_done);
+        if (part.is_done)
+            continue;
+        saved.set_checkpoint(part.checkpoint);
+        for (const member& task : part.members) {
+            const auto [place, is_new] =
+                rows.try_emplace({task.executor, task.born_ms}, static_cast<std::uint32_t>(rows.size()));
+            if (is_new) {
+                records::ExecutorLife& life = *record.add_executors();
+                life.set_id(task.executor);
+                life.set_born_ms(task.born_ms);
+            }
+            saved.add_placed_on(place->second);
+        }
+    }
+    return record;
+}
+
+void run_ledger::drop_settled()
+{
+    std::erase_if(this->runs, [](const auto& entry) {
+        const job_run& job = entry.second;
+        return is_final(job.phase) && !job.is_changed && job.unresolved == 0;
+    });
+}
+
+bool run_ledger::has_members_on(std::string_view executor_id) const
+{
+    const auto indexed = this->by_executor.find(executor_id);
+    return indexed != this->by_executor.end() && !indexed->second.empty();
+}
+
+resources run_ledger::sum_used(std::string_view executor_id) const
+{
+    resources used;
+    for (const member_reference& target : this->members_on(executor_id)) {
+        const job_run& job = this->runs.find(target.job)->second;
+        used += find_need(job.step_of(job.units[target.unit]));
+    }
+    return used;
+}
+
+std::span<const member_reference> run_ledger::members_on(std::string_view executor_id) const
+{
+    const auto indexed = this->by_executor.find(executor_id);
+    if (indexed == this->by_executor.end())
+        return {};
+    return indexed->second;
+}
+
+} // namespace wigeon
--- /dev/null
+++ b/libraries/dispatch/run_ledger.h
@@ -0,0 +1,127 @@
+// The ledger of runs: what each answer of an executor means for the units of work. It alone moves members, units and
+// jobs from state to state, and keeps the executors' used room.
+//
+// What it upholds: a unit has no second run while a member of the last one is unresolved; a run number is given out
+// once; a unit that is done is never placed again; a failure counts once a run.
+
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "dispatch/executor_book.h"
+#include "dispatch/job_run.h"
+#include "jobs/job_keys.h"
+
+namespace wigeon {
+
+// Names one task of one run.
+struct member_reference {
+    std::string job;
+    std::uint32_t unit = 0;
+    std::uint32_t member = 0;
+    std::uint32_t run = 0;
+};
+
+struct start_order {
+    member_reference target;
+    std::string executor;
+    std::uint64_t born_ms = 0;
+    std::string task;
+    std::string payload;
+    std::string checkpoint; // Empty: from the beginning.
+};
+
+struct stop_order {
+    member_reference target; // The job is empty when the ledger does not know the task.
+    std::string executor;
+    std::string task;
+};
+
+enum class start_answer : std::uint8_t {
+    accepted,
+    refused_for_room,
+    refused, // Certainly not started.
+    unknown,
+};
+
+class run_ledger {
+public:
+    run_ledger(executor_book& book, milliseconds stop_time);
+
+    // Adds a job that was accepted; `progress` is what its former leader recorded.
+    job_run& add(const std::string& id, const records::Submission& submission, const queue_policy& policy,
+                 const records::JobProgress& progress, boot_time now);
+    void cancel(std::string_view id, boot_time now);
+
+    // Makes the units of occurrences that are due by the wall clock.
+    void open_due_occurrences(job_run& job, std::uint64_t wall_ms, boot_time now);
+
+    void place(job_run& job, std::uint32_t unit_row, std::span<const std::string> executors, boot_time now);
+
+    // Asks for the end of a unit's run, so that it waits again.
+    void stop_unit(job_run& job, unit& part, boot_time now);
+
+    // The placement is in the store. False when the run is not wanted any more; it then counts as never started.
+    bool release(const member_reference& target, boot_time now);
+
+    void take_start_answer(const member_reference& target, start_answer answer, boot_time now);
+    void take_stop_answer(const member_reference& target, bool is_acknowledged, boot_time now);
+    void take_look(executor& source, const look_report& report, boot_time sent_at, boot_time now);
+
+    // The members on a life of an executor that certainly ended.
+    void resolve_lost(std::string_view executor_id, std::uint64_t born_before_ms, boot_time now);
+    void resolve_lapsed(boot_time now);
+
+    // Stops to send now; marks them as on their way.
+    std::vector<stop_order> collect_stops(boot_time now);
+
+    // Starts that become valid when the changes of this moment are in the store.
+    std::vector<start_order> collect_planned_starts();
+
+    [[nodiscard]] static records::JobProgress make_record(const job_run& job);
+
+    [[nodiscard]] std::map<std::string, job_run, std::less<>>& jobs() { return this->runs; }
+    [[nodiscard]] const std::map<std::string, job_run, std::less<>>& jobs() const { return this->runs; }
+    job_run* find(std::string_view id);
+
+    // Forgets jobs that are final, recorded, and have nothing unresolved.
+    void drop_settled();
+
+    [[nodiscard]] bool has_members_on(std::string_view executor_id) const;
+
+    // Members on the executor that are not resolved; for the bound of tasks on one executor.
+    [[nodiscard]] std::span<const member_reference> members_on(std::string_view executor_id) const;
+
+    // What these members take.
+    [[nodiscard]] resources sum_used(std::string_view executor_id) const;
+
+private:
+    void make_occurrence(job_run& job, std::uint32_t occurrence, boot_time now);
+    void open_steps(job_run& job, std::uint32_t occurrence, boot_time now);
+    void adopt_unit(job_run& job, const records::UnitProgress& saved, const records::JobProgress& progress);
+    unit* find_unit(job_run& job, const task_place& place, std::uint32_t& member_index);
+    member* find_member(const member_reference& target, job_run*& job, unit*& part);
+    void take_end(executor& source, const ended_task& ended, boot_time now);
+    void take_running(const executor& source, const running_task& shown, std::uint64_t born_ms, boot_time sent_at,
+                      boot_time now);
+    void note_failure(job_run& job, unit& part, executor& source, boot_time now);
+    void finish_unit(job_run& job, unit& part, boot_time now);
+    void end_job(job_run& job, records::JobPhase phase, boot_time now);
+    void resolve(job_run& job, unit& part, member& task, boot_time now);
+    void want_stop(job_run& job, unit& part, member& task, boot_time now);
+    void settle(job_run& job, unit& part, boot_time now);
+    void index_member(const member_reference& target, const std::string& executor_id);
+
+    executor_book& book;
+    milliseconds stop_time; // What a stop takes at most on an executor.
+    std::map<std::string, job_run, std::less<>> runs;
+    std::map<std::string, std::vector<member_reference>, std::less<>> by_executor; // Not resolved.
+    std::vector<stop_order> stray_stops; // Tasks that run without being known here.
+};
+
+} // namespace wigeon
--- /dev/null
+++ b/libraries/net/http_client.h
@@ -0,0 +1,38 @@
+// Calls to one peer over kept connections, on the process's event loop.
+
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include <boost/asio/io_context.hpp>
+
+#include "net/http_message.h"
+
+namespace wigeon {
+
+struct connection_limits {
+    milliseconds connect_timeout;
+    milliseconds idle_limit; // A connection idle for longer is closed rather than used again.
+};
+
+class http_client {
+public:
+    // `address` is "ip:port"; throws error(malformed_request) when it is not.
+    http_client(boost::asio::io_context& loop, const std::string& address, connection_limits limits);
+    ~http_client();
+
+    http_client(const http_client&) = delete;
+    http_client& operator=(const http_client&) = delete;
+
+    // Calls `done` once, from the loop, at the latest after the connect timeout and `limit`. A call that times out also
+    // retires the idle connections of its age: the path may have been lost without a reset.
+    void call(outgoing_request request, milliseconds limit, call_handler done);
+
+private:
+    class pool;
+    std::shared_ptr<pool> connections;
+};
+
+} // namespace wigeon
--- /dev/null
+++ b/libraries/net/http_listener.h
@@ -0,0 +1,47 @@
+// An HTTP server on the process's event loop. A handler may answer later, from the same loop.
+
+#pragma once
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include <boost/asio/io_context.hpp>
+
+#include "net/http_message.h"
+
+namespace wigeon {
+
+struct listener_limits {
+    std::size_t header_bytes;
+    std::size_t body_bytes;
+    std::size_t connections; // Further ones are closed at once.
+    milliseconds idle_timeout;
+};
+
+class http_listener {
+public:
+    using request_handler = std::function<void(incoming_request, reply_handler)>;
+
+    http_listener(boost::asio::io_context& loop, listener_limits limits, request_handler handler);
+    ~http_listener();
+
+    http_listener(const http_listener&) = delete;
+    http_listener& operator=(const http_listener&) = delete;
+
+    // Binds "ip:port" and returns the bound port. Throws when the address can't be bound.
+    int start(const std::string& address);
+
+    // Stops accepting and closes connections between two requests; requests in flight are still answered.
+    void stop();
+
+    // Requests that were read and are not answered yet.
+    [[nodiscard]] std::size_t in_flight() const;
+
+private:
+    class acceptor;
+    std::shared_ptr<acceptor> state;
+};
+
+} // namespace wigeon
--- /dev/null
+++ b/libraries/net/http_message.h
@@ -0,0 +1,62 @@
+// Requests and replies as the rest of the system sees them, whatever the HTTP library.
+
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "base/time.h"
+
+namespace wigeon {
+
+struct http_header {
+    std::string name;
+    std::string value;
+};
+
+// A request to another program.
+struct outgoing_request {
+    std::string method;
+    std::string target;
+    std::string body;
+    std::vector<http_header> headers;
+};
+
+// What the caller knows about a call that has ended.
+enum class call_outcome : std::uint8_t {
+    answered, // A whole reply came.
+    not_sent, // The peer certainly never saw the call.
+    unknown,  // The peer may have carried it out, or may still do so.
+};
+
+struct call_result {
+    call_outcome outcome = call_outcome::unknown;
+    int status = 0; // 0 unless answered.
+    std::string body;
+};
+
+using call_handler = std::function<void(call_result)>;
+
+// A request that this process received.
+struct incoming_request {
+    std::string method;
+    std::string target;
+    std::string host;
+    std::string authorization;
+    std::string body;
+    milliseconds deadline{0}; // How long the caller waits; 0: not said.
+    boot_time arrived;
+};
+
+struct outgoing_reply {
+    int status = 0;
+    std::string body;
+    std::uint32_t retry_after_s = 0; // 0: not said.
+};
+
+using reply_handler = std::function<void(outgoing_reply)>;
+
+} // namespace wigeon
--- /dev/null
+++ b/libraries/node/caller_service.h
@@ -0,0 +1,82 @@
+// What callers ask of a node: hand in a job, read its state, cancel it, count a queue. Any node answers; what must last
+// is in the store before it is acknowledged.
+
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "node/node_state.h"
+#include "store/record_store.h"
+
+namespace wigeon {
+
+enum class write_outcome : std::uint8_t {
+    stored,
+    refused,   // Certainly not stored, now or later.
+    uncertain, // May be stored; the caller asks again with the same id.
+};
+
+enum class access_verdict : std::uint8_t {
+    allowed,
+    unauthorized,
+    unproven, // This node can't tell whether the key is still valid.
+};
+
+struct job_view {
+    enum class verdict : std::uint8_t { known, no_such_job, unavailable };
+    verdict answer = verdict::unavailable;
+    records::JobPhase phase = records::JOB_PHASE_QUEUED;
+};
+
+struct caller_bounds {
+    milliseconds longest_unproven{0}; // Keys are not accepted on older knowledge of the configuration.
+};
+
+class caller_service : public std::enable_shared_from_this<caller_service> {
+public:
+    caller_service(boost::asio::io_context& loop, record_store& store, node_state& state, caller_bounds bounds);
+
+    // Whether the key may use the queue. `account` is set when allowed; empty for a public queue without a key.
+    [[nodiscard]] access_verdict check_access(const queue_policy& queue, std::string_view key, std::string& account,
+                                              boot_time now) const;
+
+    void submit(const std::string& job, const records::Submission& submission, boot_time now,
+                std::function<void(write_outcome)> done);
+    void cancel(const std::string& job, boot_time now, std::function<void(write_outcome)> done);
+    void read(const std::string& job, boot_time now, std::function<void(job_view)> done);
+
+    [[nodiscard]] std::size_t count_waiting(std::string_view queue) const;
+
+private:
+    // A record that a caller waits for.
+    struct pending_write {
+        keyed_record record;
+        boot_time since;
+        bool is_uncertain = false; // An append that held it had no answer.
+        std::function<void(write_outcome)> done;
+    };
+
+    void write(keyed_record record, boot_time now, std::function<void(write_outcome)> done);
+    void send();
+    void take_append(const append_result& result);
+    void retry_later();
+    [[nodiscard]] job_view view(const std::string& job) const;
+
+    boost::asio::steady_timer timer;
+    record_store& store;
+    node_state& state;
+    caller_bounds bounds;
+    std::vector<pending_write> waiting; // At most write_limit.
+    std::vector<pending_write> on_way;  // In the append that has no answer yet.
+};
+
+} // namespace wigeon
--- /dev/null
+++ b/libraries/node/executor_service.h
@@ -0,0 +1,62 @@
+// Executors as the leader speaks to them. All calls return at once; the handler runs later on the event loop.
+
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+
+#include "dispatch/executor_book.h"
+#include "dispatch/run_ledger.h"
+
+namespace wigeon {
+
+enum class executor_answer : std::uint8_t {
+    accepted,
+    fenced, // The executor has seen a higher fencing token.
+    no_room,
+    refused,     // Any other refusal; certainly not carried out.
+    unreachable, // Certainly not sent.
+    unknown,     // No answer: carried out, or not, or later.
+};
+
+struct look_request {
+    std::uint64_t fencing_token = 0;
+    std::uint64_t last_end_noted = 0;
+    std::optional<milliseconds> lease_deadline; // On the executor's clock; none: leases stay as they are.
+    milliseconds wait{0};                       // The answer waits this long for an end.
+};
+
+struct look_result {
+    executor_answer answer = executor_answer::unknown;
+    look_report report; // When accepted.
+};
+
+// An executor's address and the life that is meant.
+struct executor_target {
+    std::string id;
+    std::string address;
+};
+
+struct order_result {
+    executor_answer answer = executor_answer::unknown;
+    std::string reason; // As the executor said it; empty: none.
+};
+
+class executor_service {
+public:
+    virtual ~executor_service() = default;
+
+    virtual void look(const executor_target& target, const look_request& request,
+                      std::function<void(look_result)> done) = 0;
+    virtual void start(const executor_target& target, const start_order& order, milliseconds lease_deadline,
+                       std::uint64_t fencing_token, std::function<void(order_result)> done) = 0;
+    virtual void stop(const executor_target& target, const stop_order& order, std::uint64_t fencing_token,
+                      std::function<void(order_result)> done) = 0;
+
+    // Drops the connections to executors that left.
+    virtual void forget(const std::string& address) = 0;
+};
+
+} // namespace wigeon
--- /dev/null
+++ b/libraries/node/node_state.h
@@ -0,0 +1,87 @@
+// What this process believes: the jobs, the configuration in force, and whether a leader lives. Followed from the
+// store.
+
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "jobs/fleet_policy.h"
+#include "jobs/job_table.h"
+#include "node/document_decoder.h"
+#include "store/topic_reader.h"
+
+namespace wigeon {
+
+class node_state {
+public:
+    // Told of records as they come; only the leader listens.
+    class job_listener {
+    public:
+        virtual ~job_listener() = default;
+        virtual void take_job_change(const std::string& job, boot_time now) = 0;
+        virtual void take_policy(const fleet_policy& policy, boot_time now) = 0;
+    };
+
+    node_state(boost::asio::io_context& loop, record_store& store, const document_topics& topics,
+               const document_decoder& decoder);
+    ~node_state();
+
+    node_state(const node_state&) = delete;
+    node_state& operator=(const node_state&) = delete;
+
+    void start();
+    void stop();
+
+    [[nodiscard]] const job_table& jobs() const { return this->table; }
+    [[nodiscard]] const std::optional<fleet_policy>& policy() const { return this->in_force; }
+
+    // All topics have been read once.
+    [[nodiscard]] bool is_complete() const;
+
+    // The configuration that this process holds was certainly the newest one at this time.
+    [[nodiscard]] std::optional<boot_time> policy_proven_at() const { return this->policy_reader->proven_at(); }
+    [[nodiscard]] std::optional<boot_time> jobs_proven_at() const { return this->jobs_reader->proven_at(); }
+    [[nodiscard]] std::optional<boot_time> progress_proven_at() const { return this->progress_reader->proven_at(); }
+
+    // Calls `done` when what was in the store at the time of this call is known here, or when that failed.
+    void refresh_jobs(std::function<void(bool)> done) { this->jobs_reader->refresh(std::move(done)); }
+    void refresh_progress(std::function<void(bool)> done);
+
+    // While this process leads it writes the progress itself.
+    void begin_leading(job_listener& leader);
+    void end_leading();
+    void apply_own_progress(const keyed_record& record, boot_time now);
+
+    // When the leader's last record was read, and since when reads have shown no other.
+    struct leader_sign {
+        boot_time last_record;  // Or the time from which this process listened without a gap.
+        boot_time last_silence; // Of the newest read that reached the end.
+        records::LeaderBeat beat;
+        bool has_resigned = false;
+    };
+    [[nodiscard]] const leader_sign& sign_of_leader() const { return this->sign; }
+    void note_claim(boot_time now);
+
+private:
+    class jobs_consumer;
+    class progress_consumer;
+    class policy_consumer;
+
+    document_topics topics;
+    const document_decoder& decoder;
+    job_table table;
+    std::optional<fleet_policy> in_force;
+    leader_sign sign;
+    job_listener* listener = nullptr;
+    std::unique_ptr<jobs_consumer> jobs_taker;
+    std::unique_ptr<progress_consumer> progress_taker;
+    std::unique_ptr<policy_consumer> policy_taker;
+    std::shared_ptr<topic_reader> jobs_reader;
+    std::shared_ptr<topic_reader> progress_reader;
+    std::shared_ptr<topic_reader> policy_reader;
+};
+
+} // namespace wigeon
--- /dev/null
+++ b/libraries/store/record_store.h
@@ -0,0 +1,100 @@
+// The platform's record store as the system sees it: topics of records with offsets, of which the newest record of
+// each key is kept for ever. All calls return at once; the handler runs later on the process's event loop.
+
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/time.h"
+
+namespace wigeon {
+
+struct keyed_record {
+    std::string key;
+    std::optional<std::string> value; // None: the key was removed.
+};
+
+struct stored_record {
+    std::uint64_t offset = 0;
+    keyed_record content;
+};
+
+// Makes the repeat of an append harmless, and shuts out producers of a lower epoch.
+struct producer_position {
+    std::string name;
+    std::uint64_t epoch = 0;
+    std::uint64_t sequence = 0; // Counts appends, not records.
+};
+
+struct append_condition {
+    std::optional<std::uint64_t> expected_end; // Append only if the topic ends here.
+    std::optional<producer_position> producer;
+};
+
+enum class append_status : std::uint8_t {
+    done,
+    rejected,         // Certainly not done, now or later.
+    condition_failed, // The topic ends elsewhere; not done.
+    out_of_sequence,  // Not done; `expected_sequence` is told.
+    fenced,           // A producer with a higher epoch has taken over; not done.
+    unknown,          // May be done, or be done later.
+};
+
+struct append_result {
+    append_status status = append_status::unknown;
+    std::uint64_t offset = 0; // Of the first record, when done.
+    std::uint64_t end = 0;    // The topic's end, when done or condition_failed.
+    std::uint64_t expected_sequence = 0;
+};
+
+enum class read_status : std::uint8_t {
+    done,
+    trimmed, // The records asked for are gone; start anew from the newest pages.
+    failed,
+};
+
+struct read_result {
+    read_status status = read_status::failed;
+    std::uint64_t end = 0;   // Offset behind the topic's last record.
+    std::uint64_t first = 0; // Offset of the oldest record that is kept.
+    std::vector<stored_record> records;
+    std::size_t unreadable = 0; // Records without a readable key; passed over.
+};
+
+struct newest_page {
+    bool is_done = false;
+    std::vector<stored_record> records;
+    bool has_more = false; // Continue behind the last key.
+    std::uint64_t end = 0;
+};
+
+class record_store {
+public:
+    virtual ~record_store() = default;
+
+    // Appends to a topic with keys. All records or none.
+    virtual void append(std::string_view topic, std::span<const keyed_record> records,
+                        const append_condition& condition, std::function<void(append_result)> done) = 0;
+
+    // Appends one record to a topic without keys.
+    virtual void append_plain(std::string_view topic, std::string_view record, const append_condition& condition,
+                              std::function<void(append_result)> done) = 0;
+
+    // Reads from `from` on; waits up to `wait` for a record to come.
+    virtual void read(std::string_view topic, std::uint64_t from, milliseconds wait,
+                      std::function<void(read_result)> done) = 0;
+
+    // Reads a topic without keys; the records' keys are empty.
+    virtual void read_plain(std::string_view topic, std::uint64_t from, std::function<void(read_result)> done) = 0;
+
+    // The newest record of each key behind `after`, in the order of keys. Successive pages are no snapshot.
+    virtual void read_newest(std::string_view topic, std::string_view after, std::function<void(newest_page)> done) = 0;
+};
+
+} // namespace wigeon
