Count the leases of a former leader at full length; say a resignation only when it was recorded

A leader whose first look at an executor had ended, but which had not renewed there yet, took the lease as lapsed 250 ms later (latest deadline 0): with the store slow the second look came after 500 ms. Beside it a resigning leader took any finished append for that of its resignation, so that followers waited for its silence. Test: executor_book_story, seen red before the change.

--- a/libraries/dispatch/executor_book.cpp
+++ b/libraries/dispatch/executor_book.cpp
@@ -87,6 +87,9 @@
 
 void executor_book::take_report(executor& target, const look_report& report, boot_time sent_at, boot_time now)
 {
+    // A former leader may have renewed just before.
+    if (!target.is_reached)
+        target.latest_deadline = std::max(target.latest_deadline, report.clock + this->longest_lease);
     target.is_reached = true;
     if (!target.last_look_sent || *target.last_look_sent < sent_at)
         target.last_look_sent = sent_at;
--- a/libraries/node/leader.cpp
+++ b/libraries/node/leader.cpp
@@ -363,6 +363,7 @@
         this->pending_records.push_back({record.job, record.progress.SerializeAsString()});
     if (is_beat_due)
         this->pending_records.push_back({std::string(leader_key), this->make_beat(this->is_resigning)});
+    this->has_told_resignation = this->is_resigning;
     this->pending = std::move(changes);
     this->last_append = now;
     this->send_append();
@@ -419,7 +420,7 @@
     for (const keyed_record& record : this->pending_records)
         this->state.apply_own_progress(record, now);
     this->pending_records.clear();
-    if (this->is_resigning) {
+    if (this->has_told_resignation) {
         this->finish(leadership_end::resigned);
         return;
     }
--- a/libraries/node/leader.h
+++ b/libraries/node/leader.h
@@ -106,6 +106,7 @@
     boost::asio::steady_timer upkeep_timer;
     bool is_round_scheduled = false;
     bool is_resigning = false;
+    bool has_told_resignation = false; // The append on its way says so.
     // The append on its way; its records are sent again until the store says what became of them.
     std::optional<dispatch_changes> pending;
     std::vector<keyed_record> pending_records;
