--- /dev/null
+++ b/tests/dispatch/leader_property_test.cpp
@@ -0,0 +1,330 @@
+// Whatever becomes of leaders, orders and answers: no task runs twice at once, none starts after a noted end, no
+// executor is overfilled, and in the end every job is done.
+
+#include <queue>
+#include <random>
+
+#include <boost/test/unit_test.hpp>
+
+#include "dispatch/dispatcher.h"
+#include "jobs/job_table.h"
+#include "models/fleet_model.h"
+#include "support/property.h"
+
+namespace wigeon {
+
+namespace {
+
+constexpr dispatch_bounds bounds{milliseconds(6'000), milliseconds(200), milliseconds(5'000)};
+constexpr milliseconds tick{20};
+constexpr milliseconds look_interval{200};
+constexpr milliseconds troubled_time{30'000};
+constexpr milliseconds calm_time{60'000};
+
+fleet_policy make_policy()
+{
+    fleet_policy policy;
+    policy.version = 1;
+    for (std::uint32_t priority = 0; priority < 3; ++priority) {
+        queue_policy queue;
+        queue.name = "q" + std::to_string(priority);
+        queue.pool = "pool";
+        queue.priority = priority;
+        queue.max_attempts = 3;
+        queue.stretch = 2;
+        policy.queues.push_back(queue);
+    }
+    policy.accounts.push_back({"account", {"key"}, 16});
+    return policy;
+}
+
+// Plays one leader after another against the model. Everything that happens is drawn from the seed.
+class troubled_day {
+public:
+    explicit troubled_day(std::uint64_t seed) : random(seed), fleet(fleet_bounds{})
+    {
+        for (int row = 0; row < 8; ++row) {
+            executor_entry entry;
+            entry.id = "e" + std::to_string(row);
+            entry.pool = "pool";
+            entry.rack = "r" + std::to_string(row / 4);
+            entry.room = {64'000, 128'000, 8};
+            this->fleet.add_executor(entry, this->now);
+            this->is_cut[entry.id] = false;
+        }
+        this->lead();
+    }
+
+    void play()
+    {
+        this->is_troubled = true;
+        const boot_time end_of_trouble = this->now + troubled_time;
+        while (this->now < end_of_trouble) {
+            if (this->draw(40) == 0 && this->accepted.size() < 40)
+                this->submit();
+            if (this->draw(250) == 0)
+                this->replace_leader();
+            if (this->draw(200) == 0)
+                this->fleet.restart("e" + std::to_string(this->draw(8)), this->now);
+            if (this->draw(150) == 0) {
+                const std::string id = "e" + std::to_string(this->draw(8));
+                this->is_cut[id] = !this->is_cut[id];
+            }
+            this->step();
+        }
+        this->is_troubled = false;
+        for (auto& [id, cut] : this->is_cut)
+            cut = false;
+        const boot_time end = this->now + calm_time;
+        while (this->now < end)
+            this->step();
+    }
+
+    [[nodiscard]] const std::vector<std::string>& violations() const { return this->fleet.violations(); }
+
+    [[nodiscard]] std::size_t count_open_jobs() const
+    {
+        std::size_t open = 0;
+        for (const std::string& job : this->accepted) {
+            const auto found = this->progress.find(job);
+            if (found == this->progress.end() || !is_final(found->second.phase()))
+                ++open;
+        }
+        return open;
+    }
+
+private:
+    struct event {
+        boot_time at;
+        std::uint64_t order = 0;
+        std::function<void()> action;
+        friend bool operator<(const event& left, const event& right)
+        {
+            return std::tie(left.at, left.order) > std::tie(right.at, right.order);
+        }
+    };
+
+    std::uint32_t draw(std::uint32_t limit)
+    {
+        return std::uniform_int_distribution<std::uint32_t>(0, limit - 1)(this->random);
+    }
+
+    void later(milliseconds delay, std::function<void()> action)
+    {
+        this->events.push({this->now + delay, ++this->event_count, std::move(action)});
+    }
+
+    void submit()
+    {
+        const std::string id = "job" + std::to_string(this->accepted.size());
+        records::Submission submission;
+        submission.set_queue("q" + std::to_string(this->draw(3)));
+        submission.set_account("account");
+        const std::uint32_t steps = 1 + this->draw(2);
+        for (std::uint32_t row = 0; row < steps; ++row) {
+            records::Step& step = *submission.add_steps();
+            step.set_count(1 + this->draw(5));
+            step.set_cpu_millicores(8'000);
+            step.set_memory_mb(10'000);
+            step.set_accelerators(1 + this->draw(4));
+            step.set_estimate_ms(300 + this->draw(3'000));
+            step.set_gang(this->draw(2) == 0);
+            step.set_same_rack(this->draw(2) == 0);
+            step.set_checkpointing(this->draw(2) == 0);
+            if (row > 0)
+                step.add_after(row - 1);
+        }
+        this->submissions[id] = submission;
+        this->accepted.push_back(id);
+        this->fleet.define_job(id, submission);
+        if (this->chief)
+            this->chief->add_job(id, submission, {}, 0, this->now);
+    }
+
+    void lead()
+    {
+        ++this->term;
+        this->chief = std::make_unique<dispatcher>(bounds, this->now);
+        this->chief->set_policy(make_policy());
+        for (const executor_entry& entry : this->fleet.list_entries())
+            this->chief->update_executor(entry, this->now);
+        for (const std::string& id : this->accepted)
+            this->chief->add_job(id, this->submissions[id], this->progress[id], 0, this->now);
+        this->is_append_open = false;
+        this->is_looking.clear();
+    }
+
+    // The old leader's orders stay on their way; its appends are shut out from the claim on.
+    void replace_leader()
+    {
+        this->chief.reset();
+        this->lead();
+    }
+
+    void step()
+    {
+        this->now += tick;
+        while (!this->events.empty() && this->events.top().at <= this->now) {
+            const auto action = this->events.top().action;
+            this->events.pop();
+            action();
+        }
+        this->fleet.advance(this->now);
+        for (const executor_entry& entry : this->fleet.list_entries()) {
+            this->chief->update_executor(entry, this->now);
+            if (!this->is_looking[entry.id])
+                this->look(entry.id);
+        }
+        if (!this->is_append_open) {
+            this->chief->decide(0, this->now);
+            this->append(this->chief->collect_changes());
+        }
+        for (const stop_order& order : this->chief->collect_stops(this->now))
+            this->stop(order);
+    }
+
+    [[nodiscard]] std::uint64_t find_life(const std::string& id) const
+    {
+        for (const executor_entry& entry : this->fleet.list_entries()) {
+            if (entry.id == id)
+                return entry.born_ms;
+        }
+        return 0;
+    }
+
+    milliseconds draw_delay() { return milliseconds(1 + this->draw(30)); }
+
+    void look(const std::string& id)
+    {
+        this->is_looking[id] = true;
+        executor& host = *this->chief->executors().find(id);
+        look_request request;
+        request.fencing_token = this->term;
+        request.last_end_noted = host.last_end_noted;
+        if (host.is_reached)
+            request.lease_deadline = this->chief->executors().extend_lease(host, this->now);
+        const boot_time sent_at = this->now;
+        const std::uint64_t sender = this->term;
+        const auto release = [this, id, sender] {
+            if (this->term == sender)
+                this->is_looking[id] = false;
+        };
+        if (this->is_cut[id] || (this->is_troubled && this->draw(60) == 0)) {
+            this->later(milliseconds(1'000), release);
+            return;
+        }
+        this->later(this->draw_delay(), [this, id, request, sent_at, sender, release] {
+            const look_result result = this->fleet.look(id, request, this->now);
+            this->later(this->draw_delay(), [this, id, result, sent_at, sender] {
+                if (this->term == sender && result.answer == executor_answer::accepted)
+                    this->chief->take_look(id, result.report, sent_at, this->now);
+            });
+            this->later(look_interval, release);
+        });
+    }
+
+    void append(dispatch_changes changes)
+    {
+        if (changes.is_empty())
+            return;
+        this->is_append_open = true;
+        const std::uint64_t sender = this->term;
+        this->later(this->draw_delay(), [this, changes = std::move(changes), sender] {
+            if (this->term != sender)
+                return;
+            for (const dispatch_changes::job_record& record : changes.records)
+                this->progress[record.job] = record.progress;
+            this->later(this->draw_delay(), [this, changes, sender] {
+                if (this->term != sender)
+                    return;
+                this->is_append_open = false;
+                for (const start_order& order : this->chief->confirm_changes(changes, this->now))
+                    this->start(order);
+            });
+        });
+    }
+
+    void start(const start_order& order)
+    {
+        executor& host = *this->chief->executors().find(order.executor);
+        const milliseconds deadline = this->chief->executors().extend_lease(host, this->now);
+        const std::uint64_t sender = this->term;
+        const bool is_cut = this->is_cut[order.executor];
+        const bool is_late = this->is_troubled && this->draw(15) == 0;
+        const bool is_answer_lost = this->is_troubled && this->draw(25) == 0;
+        const auto answer = [this, order, sender](start_answer said) {
+            if (this->term == sender)
+                this->chief->take_start_answer(order, said, this->now);
+        };
+        if (is_cut || is_late || is_answer_lost)
+            this->later(milliseconds(1'000), [answer] { answer(start_answer::unknown); });
+        if (is_cut)
+            return;
+        const milliseconds delay = is_late ? milliseconds(2'000 + this->draw(10'000)) : this->draw_delay();
+        const bool is_answered = !is_late && !is_answer_lost;
+        // An order that waits inside an executor, or on a connection to it, ends with that life.
+        const std::uint64_t life = this->find_life(order.executor);
+        this->later(delay, [this, order, deadline, sender, answer, is_answered, life] {
+            if (this->find_life(order.executor) != life) {
+                answer(start_answer::unknown);
+                return;
+            }
+            const order_result result = this->fleet.start(order, deadline, sender, this->now);
+            if (!is_answered)
+                return;
+            this->later(this->draw_delay(), [answer, result] {
+                answer(result.answer == executor_answer::accepted ? start_answer::accepted : start_answer::refused);
+            });
+        });
+    }
+
+    void stop(const stop_order& order)
+    {
+        const std::uint64_t sender = this->term;
+        const bool is_lost = this->is_cut[order.executor] || (this->is_troubled && this->draw(15) == 0);
+        const milliseconds delay = is_lost ? milliseconds(1'000) : this->draw_delay();
+        this->later(delay, [this, order, sender, is_lost] {
+            if (!is_lost)
+                this->fleet.stop(order, sender, this->now);
+            this->later(this->draw_delay(), [this, order, sender, is_lost] {
+                if (this->term == sender)
+                    this->chief->take_stop_answer(order, !is_lost, this->now);
+            });
+        });
+    }
+
+    std::mt19937_64 random;
+    fleet_model fleet;
+    boot_time now{milliseconds(1'000'000)};
+    std::unique_ptr<dispatcher> chief;
+    std::uint64_t term = 0;
+    std::map<std::string, bool> is_cut;
+    std::map<std::string, bool> is_looking;
+    std::map<std::string, records::Submission> submissions;
+    std::map<std::string, records::JobProgress> progress; // The store: what was appended.
+    std::vector<std::string> accepted;
+    std::priority_queue<event> events;
+    std::uint64_t event_count = 0;
+    bool is_append_open = false;
+    bool is_troubled = false;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(leader_property_story)
+
+BOOST_AUTO_TEST_CASE(no_trouble_makes_a_task_run_twice_or_loses_a_job)
+{
+    test::check_property("troubled day", [](std::uint64_t seed) {
+        troubled_day day(seed);
+        day.play();
+        for (const std::string& violation : day.violations())
+            BOOST_TEST_MESSAGE("seed " << seed << ": " << violation);
+        RC_ASSERT(day.violations().empty());
+        RC_ASSERT(day.count_open_jobs() == 0U);
+    });
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace wigeon
--- /dev/null
+++ b/tests/models/fleet_model.cpp
@@ -0,0 +1,252 @@
+// The rules of executors, step by step.
+
+#include "models/fleet_model.h"
+
+#include <algorithm>
+
+#include "dispatch/job_run.h"
+
+namespace wigeon {
+
+void fleet_model::add_executor(const executor_entry& entry, boot_time now)
+{
+    host_state host;
+    host.entry = entry;
+    host.entry.born_ms = ++this->births;
+    host.born = now - milliseconds(1'000);
+    this->hosts[entry.id] = host;
+}
+
+void fleet_model::define_job(const std::string& job, const records::Submission& submission)
+{
+    this->jobs[job] = submission;
+}
+
+const records::Step* fleet_model::find_step(const std::string& task) const
+{
+    const auto name = parse_task_name(task);
+    if (!name)
+        return nullptr;
+    const auto job = this->jobs.find(name->job);
+    if (job == this->jobs.end())
+        return nullptr;
+    return &job->second.steps(static_cast<int>(name->place.step));
+}
+
+std::vector<std::string> fleet_model::list_members(const std::string& task) const
+{
+    const records::Step* step = this->find_step(task);
+    if (step == nullptr || !step->gang())
+        return {task};
+    const auto name = parse_task_name(task);
+    std::vector<std::string> members;
+    for (std::uint32_t index = 0; index < step->count(); ++index)
+        members.push_back(make_task_name(name->job, {name->place.occurrence, name->place.step, index}));
+    return members;
+}
+
+fleet_model::host_state* fleet_model::find_host_of(const std::string& task, std::uint32_t run)
+{
+    for (auto& [id, host] : this->hosts) {
+        const auto found = host.running.find(task);
+        if (found != host.running.end() && found->second.run == run)
+            return &host;
+    }
+    return nullptr;
+}
+
+void fleet_model::extend(host_state& host, milliseconds deadline, boot_time now)
+{
+    const milliseconds longest = this->read_clock(host, now) + this->bounds.longest_lease;
+    host.lease_end = std::max(host.lease_end, std::min(deadline, longest));
+}
+
+look_result fleet_model::look(const std::string& id, const look_request& request, boot_time now)
+{
+    this->advance(now);
+    look_result result;
+    const auto found = this->hosts.find(id);
+    if (found == this->hosts.end())
+        return result;
+    host_state& host = found->second;
+    if (request.fencing_token < host.token) {
+        result.answer = executor_answer::fenced;
+        return result;
+    }
+    host.token = request.fencing_token;
+    if (request.lease_deadline)
+        this->extend(host, *request.lease_deadline, now);
+    for (const ended_task& ended : host.ended) {
+        if (ended.number > request.last_end_noted || ended.ending != run_ending::done)
+            continue;
+        for (const std::string& member : this->list_members(ended.task))
+            this->noted_done.insert(member);
+    }
+    std::erase_if(host.ended, [&](const ended_task& ended) { return ended.number <= request.last_end_noted; });
+    result.answer = executor_answer::accepted;
+    result.report.born_ms = host.entry.born_ms;
+    result.report.clock = this->read_clock(host, now);
+    for (const auto& [task, run] : host.running)
+        result.report.running.push_back({task, run.run, "", 0});
+    result.report.ended = host.ended;
+    return result;
+}
+
+order_result fleet_model::start(const start_order& order, milliseconds deadline, std::uint64_t token, boot_time now)
+{
+    this->advance(now);
+    const auto found = this->hosts.find(order.executor);
+    if (found == this->hosts.end())
+        return {executor_answer::unreachable, ""};
+    host_state& host = found->second;
+    if (token < host.token)
+        return {executor_answer::fenced, "fence"};
+    host.token = token;
+    if (deadline <= this->read_clock(host, now))
+        return {executor_answer::refused, "late"};
+    this->extend(host, deadline, now);
+    const auto present = host.running.find(order.task);
+    if (present != host.running.end() && present->second.run == order.target.run)
+        return {executor_answer::accepted, ""};
+    const auto highest = host.highest_ended.find(order.task);
+    if (highest != host.highest_ended.end() && order.target.run <= highest->second)
+        return {executor_answer::refused, "old"};
+    const records::Step* step = this->find_step(order.task);
+    if (step == nullptr) {
+        this->broken.push_back("unasked start of " + order.task);
+        return {executor_answer::refused, "unknown"};
+    }
+    ++this->start_count;
+    for (const auto& [id, other] : this->hosts) {
+        if (other.running.contains(order.task))
+            this->broken.push_back("two runs at once of " + order.task + " on " + id + " and " + order.executor);
+    }
+    if (this->noted_done.contains(order.task))
+        this->broken.push_back("start after a noted end of " + order.task);
+    run_state run;
+    run.run = order.target.run;
+    run.started = now;
+    run.each = find_need(*step);
+    host.used += run.each;
+    if (!host.used.fits_in(host.entry.room))
+        this->broken.push_back("no room for " + order.task + " on " + order.executor);
+    host.running[order.task] = run;
+    return {executor_answer::accepted, ""};
+}
+
+order_result fleet_model::stop(const stop_order& order, std::uint64_t token, boot_time now)
+{
+    this->advance(now);
+    const auto found = this->hosts.find(order.executor);
+    if (found == this->hosts.end())
+        return {executor_answer::unreachable, ""};
+    host_state& host = found->second;
+    if (token < host.token)
+        return {executor_answer::fenced, "fence"};
+    host.token = token;
+    const auto run = host.running.find(order.task);
+    if (run != host.running.end() && run->second.run == order.target.run)
+        this->end_run(host, order.task, run_ending::stopped, now);
+    std::uint32_t& highest = host.highest_ended[order.task];
+    highest = std::max(highest, order.target.run);
+    return {executor_answer::accepted, ""};
+}
+
+void fleet_model::end_run(host_state& host, const std::string& task, run_ending ending, boot_time now)
+{
+    const auto found = host.running.find(task);
+    const run_state run = found->second;
+    host.running.erase(found);
+    host.used -= run.each;
+    host.ended.push_back({++host.last_number, task, run.run, ending, ""});
+    std::uint32_t& highest = host.highest_ended[task];
+    highest = std::max(highest, run.run);
+    if (ending == run_ending::done)
+        ++this->done_by_task[task];
+    if (ending == run_ending::done || ending == run_ending::partner_lost)
+        return;
+    for (const std::string& member : this->list_members(task)) {
+        host_state* other = member == task ? nullptr : this->find_host_of(member, run.run);
+        if (other != nullptr)
+            this->end_run(*other, member, run_ending::partner_lost, now);
+    }
+}
+
+void fleet_model::advance(boot_time now)
+{
+    // Leases first: what lapsed did not end in time.
+    for (auto& [id, host] : this->hosts) {
+        if (this->read_clock(host, now) < host.lease_end)
+            continue;
+        while (!host.running.empty())
+            this->end_run(host, host.running.begin()->first, run_ending::lapsed, now);
+    }
+    for (auto& [id, host] : this->hosts) {
+        std::vector<std::string> tasks;
+        for (const auto& [task, run] : host.running)
+            tasks.push_back(task);
+        for (const std::string& task : tasks) {
+            const auto found = host.running.find(task);
+            if (found == host.running.end())
+                continue;
+            run_state& run = found->second;
+            if (!run.working_since) {
+                const std::vector<std::string> members = this->list_members(task);
+                const bool is_whole = std::all_of(members.begin(), members.end(), [&](const std::string& member) {
+                    return this->find_host_of(member, run.run) != nullptr;
+                });
+                if (is_whole)
+                    run.working_since = now;
+                else if (now - run.started >= this->bounds.gang_wait) {
+                    this->end_run(host, task, run_ending::left_alone, now);
+                    continue;
+                }
+            }
+            const records::Step* step = this->find_step(task);
+            if (!run.working_since || now - *run.working_since < milliseconds(step->estimate_ms()))
+                continue;
+            const bool is_failing = this->failing_tasks.contains(task) || this->failing_executors.contains(id);
+            if (is_failing) {
+                this->end_run(host, task, run_ending::failed, now);
+                continue;
+            }
+            const std::uint32_t number = run.run;
+            for (const std::string& member : this->list_members(task)) {
+                host_state* other = this->find_host_of(member, number);
+                if (other != nullptr)
+                    this->end_run(*other, member, run_ending::done, now);
+            }
+        }
+    }
+}
+
+void fleet_model::restart(const std::string& id, boot_time now)
+{
+    host_state& host = this->hosts[id];
+    for (const auto& [task, run] : host.running) {
+        for (const std::string& member : this->list_members(task)) {
+            host_state* other = member == task ? nullptr : this->find_host_of(member, run.run);
+            if (other != nullptr && other != &host)
+                this->end_run(*other, member, run_ending::partner_lost, now);
+        }
+    }
+    this->add_executor(host.entry, now);
+}
+
+std::size_t fleet_model::count_running() const
+{
+    std::size_t count = 0;
+    for (const auto& [id, host] : this->hosts)
+        count += host.running.size();
+    return count;
+}
+
+std::vector<executor_entry> fleet_model::list_entries() const
+{
+    std::vector<executor_entry> entries;
+    for (const auto& [id, host] : this->hosts)
+        entries.push_back(host.entry);
+    return entries;
+}
+
+} // namespace wigeon
--- /dev/null
+++ b/tests/models/fleet_model.h
@@ -0,0 +1,93 @@
+// A model of executors for tests: fencing tokens, run numbers, leases, gangs, ends, room. It notes what no scheduler
+// may ever cause. Time is an argument, so that a test plays days in milliseconds.
+
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "jobs.pb.h"
+#include "jobs/job_keys.h"
+#include "node/executor_service.h"
+
+namespace wigeon {
+
+struct fleet_bounds {
+    milliseconds longest_lease{6'000};
+    milliseconds gang_wait{3'000}; // For which a member waits for the others.
+};
+
+class fleet_model {
+public:
+    explicit fleet_model(fleet_bounds limits) : bounds(limits) {}
+
+    void add_executor(const executor_entry& entry, boot_time now);
+
+    // Tasks of the job run for the estimate of their step.
+    void define_job(const std::string& job, const records::Submission& submission);
+
+    // Every run of this task fails at its end, or of every task on this executor.
+    void make_task_fail(const std::string& task) { this->failing_tasks.insert(task); }
+    void make_executor_fail(const std::string& id) { this->failing_executors.insert(id); }
+
+    look_result look(const std::string& id, const look_request& request, boot_time now);
+    order_result start(const start_order& order, milliseconds deadline, std::uint64_t token, boot_time now);
+    order_result stop(const stop_order& order, std::uint64_t token, boot_time now);
+
+    // Ends what is done, lapsed or left alone by now.
+    void advance(boot_time now);
+
+    // The executor loses all it knew, and is up again under its id with a new birth.
+    void restart(const std::string& id, boot_time now);
+
+    [[nodiscard]] const std::vector<std::string>& violations() const { return this->broken; }
+    [[nodiscard]] std::size_t count_running() const;
+    [[nodiscard]] std::vector<executor_entry> list_entries() const;
+    [[nodiscard]] std::uint64_t starts() const { return this->start_count; }
+    [[nodiscard]] const std::map<std::string, std::uint32_t>& done_counts() const { return this->done_by_task; }
+
+private:
+    struct run_state {
+        std::uint32_t run = 0;
+        boot_time started;
+        std::optional<boot_time> working_since; // All members of the gang are present.
+        milliseconds worked{0};
+        resources each;
+    };
+
+    struct host_state {
+        executor_entry entry;
+        boot_time born;
+        std::uint64_t token = 0;
+        milliseconds lease_end{0}; // On its own clock.
+        std::map<std::string, run_state> running;
+        std::vector<ended_task> ended;
+        std::map<std::string, std::uint32_t> highest_ended; // Run by task, stopped or ended here.
+        std::uint64_t last_number = 0;
+        resources used;
+    };
+
+    [[nodiscard]] milliseconds read_clock(const host_state& host, boot_time now) const { return now - host.born; }
+    void end_run(host_state& host, const std::string& task, run_ending ending, boot_time now);
+    void extend(host_state& host, milliseconds deadline, boot_time now);
+    [[nodiscard]] const records::Step* find_step(const std::string& task) const;
+    [[nodiscard]] std::vector<std::string> list_members(const std::string& task) const;
+    host_state* find_host_of(const std::string& task, std::uint32_t run);
+
+    fleet_bounds bounds;
+    std::map<std::string, host_state> hosts;
+    std::map<std::string, records::Submission> jobs;
+    std::set<std::string> failing_tasks;
+    std::set<std::string> failing_executors;
+    std::set<std::string> noted_done;                  // Tasks whose end `done` was taken note of.
+    std::map<std::string, std::uint32_t> done_by_task; // Ends `done`, of any run.
+    std::vector<std::string> broken;
+    std::uint64_t start_count = 0;
+    std::uint64_t births = 0;
+};
+
+} // namespace wigeon
