--- /dev/null
+++ b/tests/dispatch/placement_test.cpp
@@ -0,0 +1,164 @@
+// Where units go on a fleet whose accelerators are short.
+
+#include <array>
+
+#include <boost/test/unit_test.hpp>
+
+#include "dispatch/placement.h"
+#include "dispatch/preemption.h"
+
+namespace wigeon {
+
+namespace {
+
+const std::vector<std::string> plain_labels{"a"};
+
+slot make_slot(std::string_view id, std::string_view rack, std::int64_t free_accelerators)
+{
+    slot place;
+    place.executor = id;
+    place.pool = "pool";
+    place.rack = rack;
+    place.labels = plain_labels;
+    place.room = {64'000, 128'000, 8};
+    place.free = {64'000, 128'000, free_accelerators};
+    return place;
+}
+
+placement_need make_need(std::uint32_t count, std::int64_t accelerators)
+{
+    placement_need need;
+    need.pool = "pool";
+    need.each = {1'000, 1'000, accelerators};
+    need.count = count;
+    return need;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(placement_story)
+
+BOOST_AUTO_TEST_SUITE(a_single_task)
+
+BOOST_AUTO_TEST_CASE(goes_where_it_leaves_the_least_behind)
+{
+    const std::array slots{make_slot("whole", "r1", 8), make_slot("broken", "r1", 3)};
+    const auto places = find_places(make_need(1, 2), slots, {}, {});
+    BOOST_REQUIRE(places.has_value());
+    BOOST_TEST(places->front() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(waits_rather_than_take_an_executor_without_its_label_or_of_another_pool)
+{
+    std::array slots{make_slot("one", "r1", 8)};
+    placement_need need = make_need(1, 1);
+    need.required_label = "b";
+    BOOST_TEST(!find_places(need, slots, {}, {}).has_value());
+    need.required_label = "a";
+    BOOST_TEST(find_places(need, slots, {}, {}).has_value());
+    slots[0].pool = "other";
+    BOOST_TEST(!find_places(need, slots, {}, {}).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(stays_near_its_data_until_it_may_leave)
+{
+    const std::array slots{make_slot("near", "r1", 0), make_slot("far", "r2", 8)};
+    placement_need need = make_need(1, 1);
+    need.data_rack = "r1";
+    BOOST_TEST(!find_places(need, slots, {}, {}).has_value());
+    need.may_leave_data_rack = true;
+    BOOST_TEST(find_places(need, slots, {}, {}).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(avoids_where_it_failed_while_there_is_another_place)
+{
+    const std::array slots{make_slot("failed", "r1", 1), make_slot("other", "r1", 8)};
+    const std::array avoided{true, false};
+    BOOST_TEST(find_places(make_need(1, 1), slots, {}, avoided)->front() == 1U);
+    const std::array full{make_slot("failed", "r1", 1), make_slot("other", "r1", 0)};
+    BOOST_TEST(find_places(make_need(1, 1), full, {}, avoided)->front() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(keeps_to_the_bound_of_tasks_on_one_executor)
+{
+    const std::array slots{make_slot("one", "r1", 8), make_slot("two", "r1", 8)};
+    placement_need need = make_need(1, 1);
+    need.per_executor = 1;
+    const std::array<std::uint32_t, 2> present{1, 0};
+    BOOST_TEST(find_places(need, slots, present, {})->front() == 1U);
+    const std::array<std::uint32_t, 2> both{1, 1};
+    BOOST_TEST(!find_places(need, slots, both, {}).has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(a_gang)
+
+BOOST_AUTO_TEST_CASE(is_placed_whole_or_not_at_all)
+{
+    const std::array slots{make_slot("one", "r1", 8), make_slot("two", "r2", 4)};
+    BOOST_TEST(find_places(make_need(3, 4), slots, {}, {})->size() == 3U);
+    BOOST_TEST(!find_places(make_need(4, 4), slots, {}, {}).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(keeps_to_one_rack_when_a_rack_could_hold_it)
+{
+    const std::array slots{make_slot("a1", "r1", 8), make_slot("b1", "r2", 8), make_slot("b2", "r2", 8)};
+    placement_need need = make_need(2, 8);
+    need.same_rack = true;
+    const auto places = find_places(need, slots, {}, {});
+    BOOST_REQUIRE(places.has_value());
+    BOOST_TEST((*places)[0] != 0U);
+    BOOST_TEST((*places)[1] != 0U);
+    const std::array split{make_slot("a1", "r1", 8), make_slot("b1", "r2", 8), make_slot("b2", "r2", 0)};
+    BOOST_TEST(!find_places(need, split, {}, {}).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(spreads_over_racks_when_no_rack_could_ever_hold_it)
+{
+    const std::array slots{make_slot("a1", "r1", 8), make_slot("b1", "r2", 8)};
+    placement_need need = make_need(2, 8);
+    need.same_rack = true;
+    BOOST_TEST(find_places(need, slots, {}, {}).has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(urgent_work_on_a_full_fleet)
+
+BOOST_AUTO_TEST_CASE(stops_what_loses_the_least)
+{
+    const std::array slots{make_slot("one", "r1", 0), make_slot("two", "r1", 0)};
+    std::array<stoppable_unit, 2> units;
+    units[0] = {{1'000, 1'000, 8}, {0}, 500};
+    units[1] = {{1'000, 1'000, 8}, {1}, 20};
+    const auto plan = plan_preemption(make_need(1, 4), slots, units, {});
+    BOOST_REQUIRE(plan.has_value());
+    BOOST_TEST(plan->victims == std::vector<std::size_t>{1}, boost::test_tools::per_element());
+    BOOST_TEST(plan->places == std::vector<std::size_t>{1}, boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_CASE(stops_nothing_when_the_whole_need_can_not_be_met)
+{
+    const std::array slots{make_slot("one", "r1", 0), make_slot("two", "r1", 0)};
+    std::array<stoppable_unit, 1> units;
+    units[0] = {{1'000, 1'000, 8}, {0}, 1};
+    BOOST_TEST(!plan_preemption(make_need(2, 8), slots, units, {}).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(counts_the_room_of_a_stopped_gang_on_all_its_executors)
+{
+    const std::array slots{make_slot("one", "r1", 0), make_slot("two", "r1", 0)};
+    std::array<stoppable_unit, 1> units;
+    units[0] = {{1'000, 1'000, 8}, {0, 1}, 30};
+    const auto plan = plan_preemption(make_need(2, 8), slots, units, {});
+    BOOST_REQUIRE(plan.has_value());
+    BOOST_TEST(plan->victims.size() == 1U);
+    BOOST_TEST(plan->cost == 30);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace wigeon
--- /dev/null
+++ b/tests/dispatch/run_ledger_test.cpp
@@ -0,0 +1,318 @@
+// What each answer of an executor means for a unit of work.
+
+#include <boost/test/unit_test.hpp>
+
+#include "dispatch/run_ledger.h"
+
+namespace wigeon {
+
+namespace {
+
+constexpr milliseconds stop_time{200};
+const boot_time start{milliseconds(1'000'000)};
+
+struct ledger_fixture {
+    executor_book book{milliseconds(6'000), start};
+    run_ledger ledger{book, stop_time};
+    boot_time now = start;
+    milliseconds clock{10'000};
+
+    ledger_fixture()
+    {
+        for (const char* id : {"e1", "e2"}) {
+            executor_entry entry;
+            entry.id = id;
+            entry.pool = "pool";
+            entry.room = {64'000, 128'000, 8};
+            entry.born_ms = 7;
+            this->book.update(entry, this->now);
+            this->look(id, {}, {});
+        }
+    }
+
+    job_run& add_job(std::uint32_t tasks, bool gang, std::uint32_t attempts = 3)
+    {
+        records::Submission submission;
+        records::Step& step = *submission.add_steps();
+        step.set_count(tasks);
+        step.set_accelerators(2);
+        step.set_gang(gang);
+        queue_policy policy;
+        policy.max_attempts = attempts;
+        return this->ledger.add("job", submission, policy, {}, this->now);
+    }
+
+    // Places unit `row` and sends its starts; nobody has answered yet.
+    void place(job_run& job, std::uint32_t row, std::vector<std::string> executors)
+    {
+        this->ledger.place(job, row, executors, this->now);
+        for (const start_order& order : this->ledger.collect_planned_starts())
+            this->ledger.release(order.target, this->now);
+        job.is_changed = false;
+    }
+
+    void look(const std::string& id, std::vector<running_task> running, std::vector<ended_task> ended,
+              std::uint64_t born = 7)
+    {
+        this->now += milliseconds(10);
+        this->clock += milliseconds(10);
+        look_report report;
+        report.born_ms = born;
+        report.clock = this->clock;
+        report.running = std::move(running);
+        report.ended = std::move(ended);
+        const boot_time sent = this->now;
+        this->now += milliseconds(10);
+        this->ledger.take_look(*this->book.find(id), report, sent, this->now);
+    }
+
+    std::int64_t used(const char* id) { return this->book.find(id)->used.accelerators; }
+};
+
+member_reference refer(std::uint32_t unit, std::uint32_t member, std::uint32_t run)
+{
+    return {"job", unit, member, run};
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(run_ledger_story)
+
+BOOST_AUTO_TEST_SUITE(a_start)
+
+BOOST_FIXTURE_TEST_CASE(that_was_refused_frees_its_room_and_waits_again, ledger_fixture)
+{
+    job_run& job = this->add_job(1, false);
+    this->place(job, 0, {"e1"});
+    BOOST_TEST(this->used("e1") == 2);
+    this->ledger.take_start_answer(refer(0, 0, 1), start_answer::refused, this->now);
+    BOOST_TEST(this->used("e1") == 0);
+    BOOST_TEST(job.steps[0].waiting.size() == 1U);
+    BOOST_TEST(job.units[0].failures == 0U);
+}
+
+BOOST_FIXTURE_TEST_CASE(without_an_answer_keeps_its_room_until_a_stop_and_a_later_look, ledger_fixture)
+{
+    job_run& job = this->add_job(1, false);
+    this->place(job, 0, {"e1"});
+    this->ledger.take_start_answer(refer(0, 0, 1), start_answer::unknown, this->now);
+    this->look("e1", {}, {});
+    BOOST_TEST(this->used("e1") == 2);
+    const auto stops = this->ledger.collect_stops(this->now);
+    BOOST_REQUIRE(stops.size() == 1U);
+    BOOST_TEST(stops[0].task == "job.0.0.0");
+    this->ledger.take_stop_answer(stops[0].target, true, this->now);
+    this->look("e1", {}, {});
+    BOOST_TEST(this->used("e1") == 2); // The look came before a stop has certainly taken effect.
+    this->now += stop_time + milliseconds(100);
+    this->look("e1", {}, {});
+    BOOST_TEST(this->used("e1") == 0);
+    BOOST_TEST(job.steps[0].waiting.size() == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(without_an_answer_is_stopped_though_it_turns_out_to_run, ledger_fixture)
+{
+    job_run& job = this->add_job(1, false);
+    this->place(job, 0, {"e1"});
+    this->ledger.take_start_answer(refer(0, 0, 1), start_answer::unknown, this->now);
+    this->look("e1", {{"job.0.0.0", 1, "", 5}}, {});
+    BOOST_TEST(this->ledger.collect_stops(this->now).size() == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(is_not_sent_when_the_job_was_cancelled_meanwhile, ledger_fixture)
+{
+    job_run& job = this->add_job(1, false);
+    this->ledger.place(job, 0, std::vector<std::string>{"e1"}, this->now);
+    const auto planned = this->ledger.collect_planned_starts();
+    this->ledger.cancel("job", this->now);
+    BOOST_TEST(!this->ledger.release(planned[0].target, this->now));
+    BOOST_TEST(this->used("e1") == 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(an_end)
+
+BOOST_FIXTURE_TEST_CASE(done_completes_the_job, ledger_fixture)
+{
+    job_run& job = this->add_job(1, false);
+    this->place(job, 0, {"e1"});
+    this->ledger.take_start_answer(refer(0, 0, 1), start_answer::accepted, this->now);
+    this->look("e1", {}, {{1, "job.0.0.0", 1, run_ending::done, ""}});
+    BOOST_TEST(job.phase == records::JOB_PHASE_COMPLETED);
+    BOOST_TEST(this->used("e1") == 0);
+    BOOST_TEST(this->book.find("e1")->last_end_noted == 0U); // Noted only when it is in the store.
+}
+
+BOOST_FIXTURE_TEST_CASE(failed_too_often_fails_the_job, ledger_fixture)
+{
+    job_run& job = this->add_job(1, false, 2);
+    for (std::uint32_t run = 1; run <= 2; ++run) {
+        BOOST_TEST((job.phase != records::JOB_PHASE_FAILED));
+        this->place(job, 0, {"e1"});
+        this->look("e1", {}, {{run, "job.0.0.0", run, run_ending::failed, ""}});
+    }
+    BOOST_TEST(job.phase == records::JOB_PHASE_FAILED);
+    BOOST_TEST(job.steps[0].waiting.empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(shown_twice_counts_once, ledger_fixture)
+{
+    job_run& job = this->add_job(1, false, 2);
+    this->place(job, 0, {"e1"});
+    const std::vector<ended_task> ended{{1, "job.0.0.0", 1, run_ending::failed, ""}};
+    this->look("e1", {}, ended);
+    this->look("e1", {}, ended);
+    BOOST_TEST(job.units[0].failures == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(by_stop_keeps_the_checkpoint_for_the_next_start, ledger_fixture)
+{
+    job_run& job = this->add_job(1, false);
+    this->place(job, 0, {"e1"});
+    this->ledger.stop_unit(job, job.units[0], this->now);
+    this->look("e1", {}, {{1, "job.0.0.0", 1, run_ending::stopped, "saved"}});
+    this->ledger.place(job, 0, std::vector<std::string>{"e2"}, this->now);
+    const auto planned = this->ledger.collect_planned_starts();
+    BOOST_REQUIRE(planned.size() == 1U);
+    BOOST_TEST(planned[0].checkpoint == "saved");
+    BOOST_TEST(planned[0].target.run == 2U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(a_gang)
+
+BOOST_FIXTURE_TEST_CASE(ends_whole_when_one_member_was_refused, ledger_fixture)
+{
+    job_run& job = this->add_job(2, true);
+    this->place(job, 0, {"e1", "e2"});
+    this->ledger.take_start_answer(refer(0, 0, 1), start_answer::accepted, this->now);
+    this->ledger.take_start_answer(refer(0, 1, 1), start_answer::refused, this->now);
+    BOOST_TEST(job.steps[0].waiting.empty()); // The other member may still run.
+    BOOST_TEST(this->ledger.collect_stops(this->now).size() == 1U);
+    this->look("e1", {}, {{1, "job.0.0.0", 1, run_ending::stopped, ""}});
+    BOOST_TEST(job.steps[0].waiting.size() == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(is_done_by_one_end_and_frees_each_room_by_its_own, ledger_fixture)
+{
+    job_run& job = this->add_job(2, true);
+    this->place(job, 0, {"e1", "e2"});
+    this->look("e1", {}, {{1, "job.0.0.0", 1, run_ending::done, ""}});
+    BOOST_TEST(job.phase == records::JOB_PHASE_COMPLETED);
+    BOOST_TEST(this->used("e1") == 0);
+    BOOST_TEST(this->used("e2") == 2);
+    this->look("e2", {}, {{1, "job.0.0.1", 1, run_ending::done, ""}});
+    BOOST_TEST(this->used("e2") == 0);
+}
+
+BOOST_FIXTURE_TEST_CASE(counts_one_failure_a_run, ledger_fixture)
+{
+    job_run& job = this->add_job(2, true);
+    this->place(job, 0, {"e1", "e2"});
+    this->look("e1", {}, {{1, "job.0.0.0", 1, run_ending::failed, ""}});
+    this->look("e2", {}, {{1, "job.0.0.1", 1, run_ending::partner_lost, ""}});
+    BOOST_TEST(job.units[0].failures == 1U);
+    BOOST_TEST(job.steps[0].waiting.size() == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(an_executor_that_is_born_anew)
+
+BOOST_FIXTURE_TEST_CASE(has_lost_what_ran_there, ledger_fixture)
+{
+    job_run& job = this->add_job(1, false);
+    this->place(job, 0, {"e1"});
+    this->ledger.take_start_answer(refer(0, 0, 1), start_answer::accepted, this->now);
+    this->ledger.resolve_lost("e1", 8, this->now);
+    BOOST_TEST(this->used("e1") == 0);
+    BOOST_TEST(job.steps[0].waiting.size() == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(may_still_be_reached_by_an_order_on_its_way, ledger_fixture)
+{
+    job_run& job = this->add_job(1, false);
+    this->place(job, 0, {"e1"});
+    this->ledger.resolve_lost("e1", 8, this->now);
+    BOOST_TEST(this->used("e1") == 2);
+    BOOST_TEST(job.steps[0].waiting.empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(a_new_leader)
+
+BOOST_FIXTURE_TEST_CASE(takes_a_recorded_run_as_running_until_a_look_denies_it, ledger_fixture)
+{
+    job_run& first = this->add_job(1, false);
+    this->place(first, 0, {"e1"});
+    const records::JobProgress record = run_ledger::make_record(first);
+    executor_book fresh_book(milliseconds(6'000), this->now);
+    executor_entry entry = this->book.find("e1")->entry;
+    fresh_book.update(entry, this->now);
+    run_ledger fresh(fresh_book, stop_time);
+    job_run& job = fresh.add("job", first.submission, first.policy, record, this->now);
+    BOOST_TEST(fresh_book.find("e1")->used.accelerators == 2);
+    BOOST_TEST(job.steps[0].waiting.empty());
+    look_report report;
+    report.born_ms = 7;
+    report.clock = milliseconds(20'000);
+    fresh.take_look(*fresh_book.find("e1"), report, this->now, this->now);
+    // An order of the former leader may still come: it is shut out by a stop first.
+    BOOST_TEST(fresh_book.find("e1")->used.accelerators == 2);
+    BOOST_TEST(fresh.collect_stops(this->now).size() == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(stops_what_runs_without_a_record, ledger_fixture)
+{
+    this->look("e1", {{"unknown.0.0.0", 3, "", 0}}, {});
+    const auto stops = this->ledger.collect_stops(this->now);
+    BOOST_REQUIRE(stops.size() == 1U);
+    BOOST_TEST(stops[0].task == "unknown.0.0.0");
+    BOOST_TEST(stops[0].target.run == 3U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(steps_and_occurrences)
+
+BOOST_FIXTURE_TEST_CASE(a_step_waits_for_all_tasks_of_the_earlier_one, ledger_fixture)
+{
+    records::Submission submission;
+    submission.add_steps()->set_count(2);
+    records::Step& second = *submission.add_steps();
+    second.set_count(1);
+    second.add_after(0);
+    job_run& job = this->ledger.add("job", submission, {}, {}, this->now);
+    BOOST_TEST(job.steps[1].waiting.empty());
+    this->place(job, 0, {"e1"});
+    this->place(job, 1, {"e1"});
+    this->look("e1", {{"job.0.0.1", 1, "", 0}}, {{1, "job.0.0.0", 1, run_ending::done, ""}});
+    BOOST_TEST(job.steps[1].waiting.empty());
+    this->look("e1", {}, {{2, "job.0.0.1", 1, run_ending::done, ""}});
+    BOOST_TEST(job.steps[1].waiting.size() == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(an_occurrence_opens_when_it_is_due, ledger_fixture)
+{
+    records::Submission submission;
+    submission.add_steps()->set_count(1);
+    submission.set_occurrences(2);
+    submission.set_first_due_ms(5'000);
+    submission.set_interval_ms(1'000);
+    job_run& job = this->ledger.add("job", submission, {}, {}, this->now);
+    this->ledger.open_due_occurrences(job, 4'999, this->now);
+    BOOST_TEST(job.steps.empty());
+    this->ledger.open_due_occurrences(job, 5'000, this->now);
+    BOOST_TEST(job.steps.size() == 1U);
+    this->ledger.open_due_occurrences(job, 7'000, this->now);
+    BOOST_TEST(job.steps.size() == 2U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace wigeon
--- /dev/null
+++ b/tests/jobs/job_table_test.cpp
@@ -0,0 +1,77 @@
+// The table of jobs is the same whatever the order of the two topics.
+
+#include <boost/test/unit_test.hpp>
+
+#include "jobs/job_keys.h"
+#include "jobs/job_table.h"
+
+namespace wigeon {
+
+namespace {
+
+const boot_time now{milliseconds(1'000)};
+
+keyed_record make_submission(const std::string& job)
+{
+    records::Submission submission;
+    submission.set_queue("q");
+    submission.add_steps()->set_count(1);
+    return {job, submission.SerializeAsString()};
+}
+
+keyed_record make_progress(const std::string& job, records::JobPhase phase)
+{
+    records::JobProgress progress;
+    progress.set_phase(phase);
+    return {job, progress.SerializeAsString()};
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(job_table_story)
+
+BOOST_AUTO_TEST_CASE(a_job_waits_until_its_first_task_is_placed_or_it_is_cancelled)
+{
+    job_table table;
+    table.apply_submission_record(make_submission("a"), now);
+    table.apply_submission_record(make_submission("b"), now);
+    table.apply_submission_record(make_submission("b"), now);
+    BOOST_TEST(table.count_waiting("q") == 2U);
+    table.apply_progress_record(make_progress("a", records::JOB_PHASE_RUNNING), now);
+    BOOST_TEST(table.count_waiting("q") == 1U);
+    table.apply_submission_record({make_cancel_key("b"), std::string("1")}, now);
+    BOOST_TEST(table.count_waiting("q") == 0U);
+    BOOST_TEST(table.find("b")->is_cancel_asked);
+}
+
+BOOST_AUTO_TEST_CASE(an_end_stays_an_end)
+{
+    job_table table;
+    table.apply_progress_record(make_progress("a", records::JOB_PHASE_COMPLETED), now);
+    table.apply_submission_record(make_submission("a"), now);
+    table.apply_progress_record(make_progress("a", records::JOB_PHASE_RUNNING), now);
+    BOOST_TEST(table.find("a")->is_final());
+}
+
+BOOST_AUTO_TEST_CASE(unreadable_records_are_told)
+{
+    job_table table;
+    BOOST_TEST(!table.apply_submission_record({"a", std::string("\xff\xff")}, now));
+    BOOST_TEST(!table.apply_progress_record({"a", std::string("\xff\xff")}, now));
+    BOOST_TEST(table.find("a") == nullptr);
+}
+
+BOOST_AUTO_TEST_CASE(names_of_tasks_are_read_back)
+{
+    const task_place place{3, 1, 17};
+    const auto name = parse_task_name(make_task_name("5c0e7a21d94b36f8", place));
+    BOOST_REQUIRE(name.has_value());
+    BOOST_TEST(name->job == "5c0e7a21d94b36f8");
+    BOOST_TEST((name->place == place));
+    for (const char* text : {"", "a", "a.1", "a.1.2", "a.1.2.x", "a.1.2.3.4", ".1.2.3"})
+        BOOST_TEST(!parse_task_name(text).has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace wigeon
--- /dev/null
+++ b/tests/platform/wire_test.cpp
@@ -0,0 +1,242 @@
+// The forms of the platform's wire, decoded and encoded.
+
+#include <boost/test/unit_test.hpp>
+
+#include "base/error_kind.h"
+#include "platform/caller_interface.h"
+#include "platform/documents.h"
+#include "platform/executor_client.h"
+#include "platform/node_settings.h"
+#include "platform/store_client.h"
+
+namespace wigeon::platform {
+
+namespace {
+
+const std::string settings_text = R"({"node-name":"n1","zone":"z1","ip":"127.0.0.1",
+  "listen-addrs":{"frontend":"127.0.0.1:1","ready":"127.0.0.1:2"},"port-range":[7000,7015],
+  "limits":{"cpu-share":0.25,"memory-mb":260,"max-fds":4100,"new":1},
+  "platform":{"address":"127.0.0.1:3"},
+  "bounds":{"hold-max-ms":6000,"stop-ms":200,"revoke-ms":5000,"grace-s":6}})";
+
+call_result answer(int status, std::string body)
+{
+    return {call_outcome::answered, status, std::move(body)};
+}
+
+std::string without(std::string text, const std::string& part)
+{
+    return text.replace(text.find(part), part.size(), "");
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(platform_wire_story)
+
+BOOST_AUTO_TEST_SUITE(settings)
+
+BOOST_AUTO_TEST_CASE(are_read_whatever_unknown_fields_they_hold)
+{
+    const node_settings settings = parse_node_settings(settings_text);
+    BOOST_TEST(settings.node_name == "n1");
+    BOOST_TEST(settings.first_free_port == 7000);
+    BOOST_TEST((settings.longest_lease == milliseconds(6'000)));
+    BOOST_TEST((settings.stop_grace == milliseconds(6'000)));
+}
+
+BOOST_AUTO_TEST_CASE(name_what_is_missing)
+{
+    const auto names_field = [](const error& failure) {
+        return std::string(failure.what()).find("hold-max-ms") != std::string::npos;
+    };
+    BOOST_CHECK_EXCEPTION(parse_node_settings(without(settings_text, "\"hold-max-ms\":6000,")), error, names_field);
+    BOOST_CHECK_THROW(parse_node_settings("{"), error);
+    BOOST_CHECK_THROW(read_node_settings("/nonexistent"), error);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(records_of_the_store)
+
+BOOST_AUTO_TEST_CASE(come_back_as_they_were_written)
+{
+    const std::vector<keyed_record> written{{"a", std::string("value")}, {"b", std::nullopt}};
+    std::string body(15, '\0');
+    body += '\7';                 // The end.
+    body += std::string(8, '\0'); // The first one kept.
+    body.erase(0, 8);
+    body += encode_keyed_records(written);
+    const read_result read = decode_records(body, 5, true);
+    BOOST_REQUIRE((read.status == read_status::done));
+    BOOST_TEST(read.end == 7U);
+    BOOST_REQUIRE(read.records.size() == 2U);
+    BOOST_TEST(read.records[0].offset == 5U);
+    BOOST_TEST(*read.records[0].content.value == "value");
+    BOOST_TEST(!read.records[1].content.value.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(that_are_cut_short_are_no_answer)
+{
+    std::string body(16, '\0');
+    body += encode_keyed_records(std::vector<keyed_record>{{"a", std::string("value")}});
+    body.pop_back();
+    BOOST_TEST((decode_records(body, 0, true).status == read_status::failed));
+    BOOST_TEST((decode_records("short", 0, true).status == read_status::failed));
+}
+
+BOOST_AUTO_TEST_CASE(without_a_readable_key_are_counted_and_keep_the_offsets)
+{
+    std::string body(16, '\0');
+    body += std::string("\0\0\0\2\7a", 6);
+    body += encode_keyed_records(std::vector<keyed_record>{{"b", std::string("v")}});
+    const read_result read = decode_records(body, 0, true);
+    BOOST_TEST(read.unreadable == 1U);
+    BOOST_REQUIRE(read.records.size() == 1U);
+    BOOST_TEST(read.records[0].offset == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(of_the_newest_page_are_decoded)
+{
+    const newest_page page =
+        decode_newest(answer(200, R"({"items":[{"key":"k","value":"aGVsbG8=","offset":4}],"has-more":true,"end":6})"));
+    BOOST_REQUIRE(page.is_done);
+    BOOST_TEST(page.has_more);
+    BOOST_TEST(page.end == 6U);
+    BOOST_TEST(*page.records[0].content.value == "hello");
+    BOOST_TEST(!decode_newest(answer(503, "")).is_done);
+    BOOST_TEST(!decode_newest(answer(200, R"({"items":[{"key":1}]})")).is_done);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(an_append)
+
+BOOST_AUTO_TEST_CASE(is_certainly_not_done_only_when_the_store_says_so_or_never_saw_it)
+{
+    BOOST_TEST((decode_append({call_outcome::unknown, 0, ""}).status == append_status::unknown));
+    BOOST_TEST((decode_append({call_outcome::not_sent, 0, ""}).status == append_status::rejected));
+    BOOST_TEST((decode_append(answer(503, "")).status == append_status::rejected));
+    BOOST_TEST((decode_append(answer(429, "")).status == append_status::rejected));
+    BOOST_TEST((decode_append(answer(500, "")).status == append_status::unknown));
+    BOOST_TEST((decode_append(answer(504, "")).status == append_status::unknown));
+    BOOST_TEST((decode_append(answer(200, "not json")).status == append_status::unknown));
+}
+
+BOOST_AUTO_TEST_CASE(tells_why_its_condition_failed)
+{
+    BOOST_TEST(decode_append(answer(200, R"({"offset":3,"end":5})")).offset == 3U);
+    BOOST_TEST((decode_append(answer(412, R"({"end":9})")).status == append_status::condition_failed));
+    BOOST_TEST((decode_append(answer(409, R"({"reason":"fenced"})")).status == append_status::fenced));
+    const append_result late = decode_append(answer(409, R"({"reason":"seq","sequence":4})"));
+    BOOST_TEST((late.status == append_status::out_of_sequence));
+    BOOST_TEST(late.expected_sequence == 4U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(executors)
+
+BOOST_AUTO_TEST_CASE(report_what_runs_and_what_ended)
+{
+    const look_result look = decode_look(answer(
+        200,
+        R"({"clock-ms":482113,"born":17,"running":[["j.0.0.1",2,"c",41,3]],"ended":[[58,"j.0.0.9",1,"broken",""]]})"));
+    BOOST_REQUIRE((look.answer == executor_answer::accepted));
+    BOOST_TEST(look.report.born_ms == 17U);
+    BOOST_TEST((look.report.clock == milliseconds(482'113)));
+    BOOST_TEST(look.report.running[0].percent == 41U);
+    BOOST_TEST((look.report.ended[0].ending == run_ending::partner_lost));
+}
+
+BOOST_AUTO_TEST_CASE(that_answer_in_an_unknown_form_have_said_nothing)
+{
+    BOOST_TEST((decode_look(answer(200, R"({"clock-ms":1})")).answer == executor_answer::unknown));
+    BOOST_TEST((decode_look(answer(200, R"({"clock-ms":1,"running":[],"ended":[[1,"t",1,"vanished",""]]})")).answer ==
+                executor_answer::unknown));
+}
+
+BOOST_AUTO_TEST_CASE(refuse_for_good_or_leave_it_open)
+{
+    BOOST_TEST((decode_order(answer(409, R"({"reason":"fence"})")).answer == executor_answer::fenced));
+    BOOST_TEST((decode_order(answer(409, R"({"reason":"room"})")).answer == executor_answer::no_room));
+    BOOST_TEST((decode_order(answer(409, R"({"reason":"late"})")).answer == executor_answer::refused));
+    BOOST_TEST((decode_order(answer(503, "")).answer == executor_answer::refused));
+    BOOST_TEST((decode_order(answer(421, "")).answer == executor_answer::refused));
+    BOOST_TEST((decode_order(answer(500, "")).answer == executor_answer::unknown));
+    BOOST_TEST((decode_order({call_outcome::unknown, 0, ""}).answer == executor_answer::unknown));
+    BOOST_TEST((decode_order({call_outcome::not_sent, 0, ""}).answer == executor_answer::unreachable));
+}
+
+BOOST_AUTO_TEST_CASE(with_a_malformed_entry_are_passed_over_with_the_reason)
+{
+    const json_documents documents;
+    const std::string whole =
+        R"({"service":"s","address":"10.0.0.1:80","zone":"z","state":"ready","headroom":{"cpu":1,"mem-mb":2,"gpu":3},)"
+        R"("labels":["a","r1-3"],"born":5})";
+    std::string problem;
+    const auto entry = documents.decode_executor("e", whole, problem);
+    BOOST_REQUIRE(entry.has_value());
+    BOOST_TEST(entry->rack == "r1-3");
+    BOOST_TEST(entry->room.accelerators == 3);
+    for (const char* part :
+         {"\"service\":\"s\",", "\"address\":\"10.0.0.1:80\",", "\"state\":\"ready\",", "\"gpu\":3"}) {
+        problem.clear();
+        BOOST_TEST(!documents.decode_executor("e", without(whole, part), problem).has_value());
+        BOOST_TEST(!problem.empty());
+    }
+    BOOST_TEST(!documents.decode_executor("e", "\xff\xfe", problem).has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(configurations)
+
+BOOST_AUTO_TEST_CASE(select_the_longest_prefix_of_the_host)
+{
+    const json_documents documents;
+    std::string problem;
+    const auto policy = documents.decode_policy(
+        R"({"version":7,"routes":[
+            {"name":"r1","host":"h","path-prefix":"/a/","service":"s"},
+            {"name":"r2","host":"h","path-prefix":"/a/b/","service":"s","priority":2,"max-attempts":4,"stretch":1.5}],
+            "tenants":[{"name":"t","api-keys":["k1","k2"],"guaranteed":{"gpu":120}}]})",
+        problem);
+    BOOST_REQUIRE(policy.has_value());
+    BOOST_TEST(policy->find_queue("h", "/a/b/id")->name == "r2");
+    BOOST_TEST(policy->find_queue("h", "/a/id")->name == "r1");
+    BOOST_TEST(policy->find_queue("other", "/a/id") == nullptr);
+    BOOST_TEST(policy->find_account_by_key("k2")->guaranteed_accelerators == 120);
+    BOOST_TEST(policy->find_account_by_key("k3") == nullptr);
+    BOOST_TEST(!documents.decode_policy("[]", problem).has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(submissions)
+
+BOOST_AUTO_TEST_CASE(are_decoded_with_what_they_leave_out)
+{
+    const records::Submission submission = decode_submission(
+        R"({"spec":"s","steps":[{"count":4,"cpu":500},{"count":2,"gpu":8,"gang":true,"same-rack":true,"after":[0]}]})");
+    BOOST_TEST(submission.steps_size() == 2);
+    BOOST_TEST(submission.steps(0).accelerators() == 0U);
+    BOOST_TEST(submission.steps(1).gang());
+    BOOST_TEST(submission.steps(1).after(0) == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(that_make_no_sense_are_refused)
+{
+    for (const char* body :
+         {"", "[]", "{}", R"({"steps":[]})", R"({"steps":[{"count":0}]})", R"({"steps":[{"count":-1}]})",
+          R"({"steps":[{"count":1,"after":[0]}]})", R"({"steps":[{"count":1,"cpu":"much"}]})",
+          R"({"steps":[{"count":10001}]})", R"({"steps":[7]})"})
+        BOOST_CHECK_THROW(decode_submission(body), error);
+    const std::string long_payload = R"({"spec":")" + std::string(4'001, 'x') + R"(","steps":[{"count":1}]})";
+    BOOST_CHECK_THROW(decode_submission(long_payload), error);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace wigeon::platform
