--- /dev/null
+++ b/tests/models/scripted_store.cpp
@@ -0,0 +1,60 @@
+// Answers come from the loop, never from inside the call.
+
+#include "models/scripted_store.h"
+
+#include <boost/asio/post.hpp>
+
+namespace wigeon {
+
+void scripted_store::append(std::string_view topic, std::span<const keyed_record> records,
+                            const append_condition& condition, std::function<void(append_result)> done)
+{
+    ++this->append_calls;
+    append_result result;
+    switch (this->append_fault) {
+    case store_fault::none:
+        result = this->model.append(std::string(topic), records, condition);
+        break;
+    case store_fault::refusing:
+        result.status = append_status::rejected;
+        break;
+    case store_fault::answer_lost:
+        this->model.append(std::string(topic), records, condition);
+        break;
+    case store_fault::unreachable:
+        break;
+    }
+    boost::asio::post(this->loop, [result, done = std::move(done)] { done(result); });
+}
+
+void scripted_store::append_plain(std::string_view topic, std::string_view record, const append_condition& condition,
+                                  std::function<void(append_result)> done)
+{
+    const std::vector<keyed_record> records{{"", std::string(record)}};
+    this->append(topic, records, condition, std::move(done));
+}
+
+void scripted_store::read(std::string_view topic, std::uint64_t from, milliseconds wait,
+                          std::function<void(read_result)> done)
+{
+    static_cast<void>(wait);
+    read_result result;
+    if (this->read_fault == store_fault::none)
+        result = this->model.read(std::string(topic), from, this->page_size);
+    boost::asio::post(this->loop, [result, done = std::move(done)] { done(result); });
+}
+
+void scripted_store::read_plain(std::string_view topic, std::uint64_t from, std::function<void(read_result)> done)
+{
+    this->read(topic, from, milliseconds(0), std::move(done));
+}
+
+void scripted_store::read_newest(std::string_view topic, std::string_view after, std::function<void(newest_page)> done)
+{
+    newest_page page;
+    if (this->read_fault == store_fault::none)
+        page = this->model.read_newest(std::string(topic), std::string(after), this->page_size);
+    boost::asio::post(this->loop, [page, done = std::move(done)] { done(page); });
+}
+
+} // namespace wigeon
--- /dev/null
+++ b/tests/node/caller_service_test.cpp
@@ -0,0 +1,230 @@
+// What callers are told is true, whatever the store does.
+
+#include <boost/test/unit_test.hpp>
+
+#include "jobs/job_keys.h"
+#include "models/scripted_store.h"
+#include "node/caller_service.h"
+#include "node/candidacy.h"
+
+namespace wigeon {
+
+namespace {
+
+// Reads a policy of one queue from any document.
+class fixed_decoder : public document_decoder {
+public:
+    std::optional<fleet_policy> decode_policy(std::string_view, std::string&) const override
+    {
+        fleet_policy policy;
+        policy.version = 1;
+        queue_policy queue;
+        queue.name = "q";
+        policy.queues.push_back(queue);
+        policy.accounts.push_back({"account", {"key"}, 0});
+        return policy;
+    }
+
+    std::optional<executor_entry> decode_executor(std::string_view, std::string_view, std::string&) const override
+    {
+        return std::nullopt;
+    }
+};
+
+struct caller_fixture {
+    boost::asio::io_context loop;
+    scripted_store store{this->loop};
+    fixed_decoder decoder;
+    node_state state{this->loop, this->store, {"keyed.policy", "policy", "keyed.executors"}, this->decoder};
+    std::shared_ptr<caller_service> service =
+        std::make_shared<caller_service>(this->loop, this->store, this->state, caller_bounds{milliseconds(3'000)});
+
+    caller_fixture()
+    {
+        const std::vector<keyed_record> records{{"policy", std::string("{}")}};
+        this->store.model.append("keyed.policy", records, {});
+        this->state.start();
+        while (!this->state.is_complete())
+            this->loop.run_one();
+    }
+
+    write_outcome submit(const std::string& job)
+    {
+        std::optional<write_outcome> outcome;
+        records::Submission submission;
+        submission.set_queue("q");
+        submission.add_steps()->set_count(1);
+        this->service->submit(job, submission, boot_clock::now(), [&](write_outcome told) { outcome = told; });
+        while (!outcome)
+            this->loop.run_one();
+        return *outcome;
+    }
+
+    job_view read(const std::string& job)
+    {
+        std::optional<job_view> seen;
+        this->service->read(job, boot_clock::now(), [&](job_view told) { seen = told; });
+        while (!seen)
+            this->loop.run_one();
+        return *seen;
+    }
+
+    // The record is in the store.
+    [[nodiscard]] bool holds(const std::string& key) const
+    {
+        for (const stored_record& record : this->store.model.read_newest(std::string(jobs_topic), "", 100).records) {
+            if (record.content.key == key)
+                return true;
+        }
+        return false;
+    }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(caller_service_story)
+
+BOOST_AUTO_TEST_SUITE(a_submission)
+
+BOOST_FIXTURE_TEST_CASE(is_accepted_when_it_is_in_the_store, caller_fixture)
+{
+    BOOST_TEST((this->submit("job") == write_outcome::stored));
+    BOOST_TEST(this->holds("job"));
+    BOOST_TEST((this->read("job").answer == job_view::verdict::known));
+}
+
+BOOST_FIXTURE_TEST_CASE(is_refused_only_when_it_is_certainly_not_stored, caller_fixture)
+{
+    this->store.append_fault = store_fault::refusing;
+    BOOST_TEST((this->submit("job") == write_outcome::refused));
+    BOOST_TEST(!this->holds("job"));
+    BOOST_TEST(this->store.append_calls > 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(whose_answer_was_lost_is_uncertain_and_never_refused, caller_fixture)
+{
+    this->store.append_fault = store_fault::answer_lost;
+    BOOST_TEST((this->submit("job") == write_outcome::uncertain));
+    BOOST_TEST(this->holds("job"));
+}
+
+BOOST_FIXTURE_TEST_CASE(that_was_lost_first_and_refused_later_is_still_uncertain, caller_fixture)
+{
+    std::optional<write_outcome> outcome;
+    records::Submission submission;
+    submission.set_queue("q");
+    this->store.append_fault = store_fault::answer_lost;
+    this->service->submit("job", submission, boot_clock::now(), [&](write_outcome told) { outcome = told; });
+    this->store.append_fault = store_fault::refusing;
+    while (!outcome)
+        this->loop.run_one();
+    BOOST_TEST((*outcome == write_outcome::uncertain));
+}
+
+BOOST_FIXTURE_TEST_CASE(sent_again_is_the_same_job, caller_fixture)
+{
+    this->submit("job");
+    this->read("job");
+    const std::size_t calls = this->store.append_calls;
+    BOOST_TEST((this->submit("job") == write_outcome::stored));
+    BOOST_TEST(this->store.append_calls == calls);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(a_question)
+
+BOOST_FIXTURE_TEST_CASE(about_a_job_that_another_node_took_a_moment_ago_is_answered, caller_fixture)
+{
+    records::Submission submission;
+    submission.set_queue("q");
+    const std::vector<keyed_record> records{{"elsewhere", submission.SerializeAsString()}};
+    this->store.model.append(std::string(jobs_topic), records, {});
+    BOOST_TEST((this->read("elsewhere").answer == job_view::verdict::known));
+}
+
+BOOST_FIXTURE_TEST_CASE(about_an_unknown_job_is_denied_only_by_a_new_read, caller_fixture)
+{
+    BOOST_TEST((this->read("never").answer == job_view::verdict::no_such_job));
+    this->store.read_fault = store_fault::unreachable;
+    BOOST_TEST((this->read("never").answer == job_view::verdict::unavailable));
+}
+
+BOOST_FIXTURE_TEST_CASE(with_a_key_is_refused_when_the_configuration_could_be_old, caller_fixture)
+{
+    const queue_policy& queue = this->state.policy()->queues.front();
+    std::string account;
+    const boot_time now = boot_clock::now();
+    BOOST_TEST((this->service->check_access(queue, "key", account, now) == access_verdict::allowed));
+    BOOST_TEST(account == "account");
+    BOOST_TEST((this->service->check_access(queue, "other", account, now) == access_verdict::unauthorized));
+    BOOST_TEST(
+        (this->service->check_access(queue, "key", account, now + milliseconds(10'000)) == access_verdict::unproven));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(a_silent_leader)
+
+BOOST_AUTO_TEST_CASE(is_gone_only_after_reads_that_showed_its_silence)
+{
+    const claim_patience patience{milliseconds(1'600), milliseconds(30)};
+    const boot_time now{milliseconds(100'000)};
+    node_state::leader_sign sign;
+    sign.last_record = now - milliseconds(5'000);
+    sign.last_silence = now - milliseconds(4'000); // No read since.
+    BOOST_TEST(!is_leader_gone(sign, patience, now));
+    sign.last_silence = now - milliseconds(100);
+    BOOST_TEST(is_leader_gone(sign, patience, now));
+}
+
+BOOST_AUTO_TEST_CASE(that_resigned_is_followed_at_once)
+{
+    const claim_patience patience{milliseconds(1'600), milliseconds(30)};
+    const boot_time now{milliseconds(100'000)};
+    node_state::leader_sign sign;
+    sign.last_record = now - milliseconds(50);
+    sign.last_silence = now;
+    BOOST_TEST(!is_leader_gone(sign, patience, now));
+    sign.has_resigned = true;
+    BOOST_TEST(is_leader_gone(sign, patience, now));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(claims_of_the_term)
+
+BOOST_FIXTURE_TEST_CASE(are_won_by_one_of_several_nodes, caller_fixture)
+{
+    std::vector<std::uint64_t> terms;
+    std::vector<std::shared_ptr<candidacy>> nodes;
+    for (std::uint64_t number = 1; number <= 4; ++number) {
+        const leader_identity identity{"node" + std::to_string(number), number};
+        nodes.push_back(std::make_shared<candidacy>(this->loop, this->store, this->state,
+                                                    claim_patience{milliseconds(60'000), milliseconds(30)}, identity));
+        nodes.back()->start([&terms](std::uint64_t term) { terms.push_back(term); });
+    }
+    this->loop.run_for(milliseconds(500));
+    BOOST_TEST(terms == std::vector<std::uint64_t>{0}, boost::test_tools::per_element());
+    for (const auto& node : nodes)
+        node->stop();
+}
+
+BOOST_FIXTURE_TEST_CASE(whose_answer_was_lost_are_found_in_the_topic, caller_fixture)
+{
+    std::vector<std::uint64_t> terms;
+    const auto node =
+        std::make_shared<candidacy>(this->loop, this->store, this->state,
+                                    claim_patience{milliseconds(60'000), milliseconds(30)}, leader_identity{"node", 1});
+    this->store.append_fault = store_fault::answer_lost;
+    node->start([&terms](std::uint64_t term) { terms.push_back(term); });
+    this->loop.run_for(milliseconds(500));
+    BOOST_TEST(terms == std::vector<std::uint64_t>{0}, boost::test_tools::per_element());
+    node->stop();
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace wigeon
--- /dev/null
+++ b/tests/store/topic_reader_test.cpp
@@ -0,0 +1,141 @@
+// A reader shows each key's newest record, whatever is appended or forgotten while it pages.
+
+#include <boost/test/unit_test.hpp>
+
+#include "models/scripted_store.h"
+#include "store/topic_reader.h"
+
+namespace wigeon {
+
+namespace {
+
+class recording_consumer : public topic_consumer {
+public:
+    void apply(const stored_record& record, boot_time) override
+    {
+        if (record.content.value)
+            this->values[record.content.key] = *record.content.value;
+        else
+            this->values.erase(record.content.key);
+        if (this->on_apply)
+            this->on_apply();
+    }
+
+    void finish_pages(const std::map<std::string, std::uint64_t, std::less<>>& keys, boot_time) override
+    {
+        std::erase_if(this->values, [&](const auto& entry) { return !keys.contains(entry.first); });
+    }
+
+    void finish_read(std::size_t, boot_time, boot_time) override { ++this->reads; }
+
+    std::map<std::string, std::string> values;
+    std::function<void()> on_apply;
+    std::size_t reads = 0;
+};
+
+struct reader_fixture {
+    boost::asio::io_context loop;
+    scripted_store store{this->loop};
+    recording_consumer consumer;
+    std::shared_ptr<topic_reader> reader = std::make_shared<topic_reader>(
+        this->loop, this->store, "keyed.topic", reading_pace{milliseconds(0), milliseconds(10)}, this->consumer);
+
+    void put(const std::string& key, const std::string& value)
+    {
+        const std::vector<keyed_record> records{{key, value}};
+        this->store.model.append("keyed.topic", records, {});
+    }
+
+    void remove(const std::string& key)
+    {
+        const std::vector<keyed_record> records{{key, std::nullopt}};
+        this->store.model.append("keyed.topic", records, {});
+    }
+
+    // Runs until what was in the store at this moment has been read, or the read failed.
+    bool refresh()
+    {
+        bool is_answered = false;
+        bool is_current = false;
+        this->reader->refresh([&](bool current) {
+            is_answered = true;
+            is_current = current;
+        });
+        while (!is_answered)
+            this->loop.run_one();
+        return is_current;
+    }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(topic_reader_story)
+
+BOOST_FIXTURE_TEST_CASE(reads_pages_and_then_what_follows, reader_fixture)
+{
+    for (const char* key : {"a", "b", "c", "d", "e"})
+        this->put(key, "old");
+    this->reader->start();
+    BOOST_TEST(this->refresh());
+    BOOST_TEST(this->consumer.values.size() == 5U);
+    this->put("b", "new");
+    this->remove("c");
+    BOOST_TEST(this->refresh());
+    BOOST_TEST(this->consumer.values["b"] == "new");
+    BOOST_TEST(!this->consumer.values.contains("c"));
+}
+
+BOOST_FIXTURE_TEST_CASE(never_falls_back_to_an_older_record_of_a_page_read_earlier, reader_fixture)
+{
+    for (const char* key : {"a", "b", "c", "d"})
+        this->put(key, "1");
+    bool is_changed = false;
+    this->consumer.on_apply = [&] {
+        // While the first page is applied, a key of a later page changes twice.
+        if (std::exchange(is_changed, true))
+            return;
+        this->put("d", "2");
+        this->put("d", "3");
+    };
+    std::string last_seen;
+    bool has_fallen_back = false;
+    this->reader->start();
+    const auto keep = this->consumer.on_apply;
+    this->consumer.on_apply = [&] {
+        keep();
+        const std::string seen = this->consumer.values["d"];
+        has_fallen_back = has_fallen_back || seen < last_seen;
+        last_seen = seen;
+    };
+    BOOST_TEST(this->refresh());
+    BOOST_TEST(!has_fallen_back);
+    BOOST_TEST(this->consumer.values["d"] == "3");
+}
+
+BOOST_FIXTURE_TEST_CASE(starts_anew_when_the_history_was_forgotten, reader_fixture)
+{
+    this->put("a", "1");
+    this->put("gone", "1");
+    this->reader->start();
+    BOOST_TEST(this->refresh());
+    this->put("a", "2");
+    this->remove("gone");
+    this->store.model.forget_history("keyed.topic");
+    BOOST_TEST(this->refresh());
+    BOOST_TEST(this->consumer.values["a"] == "2");
+    BOOST_TEST(!this->consumer.values.contains("gone"));
+}
+
+BOOST_FIXTURE_TEST_CASE(proves_nothing_by_reads_that_fail, reader_fixture)
+{
+    this->reader->start();
+    BOOST_TEST(this->refresh());
+    const auto proven = this->reader->proven_at();
+    this->store.read_fault = store_fault::unreachable;
+    BOOST_TEST(!this->refresh());
+    BOOST_TEST((this->reader->proven_at() == proven));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace wigeon
