Urgent work beyond its guarantee throws away at most what it does itself, and nothing when it is late anyway

Work adopted from a former leader was taken as having run since the epoch. Ruled out: stops of checkpointing work (3,525 stops of 13.5 core-seconds each, most of that the base cost) as the main loss.

--- a/libraries/dispatch/dispatcher.cpp
+++ b/libraries/dispatch/dispatcher.cpp
@@ -37,6 +37,9 @@
 // task.
 constexpr double stop_base_cost = 5.0;
 
+// Urgent work beyond its account's guarantee throws away at most this share of what it does itself.
+constexpr double most_lost_work = 1.0;
+
 // Work that a checkpointing task loses at a stop, in seconds: its restore.
 constexpr double checkpoint_loss_s = 0.2;
 
@@ -253,6 +256,7 @@
         if (is_final(job.phase))
             continue;
         std::optional<order_key> key;
+        bool is_job_in_time = false;
         waiting_load& load = this->loads[job.submission.queue()];
         for (std::uint32_t row = 0; row < job.steps.size(); ++row) {
             const step_run& step = job.steps[row];
@@ -262,14 +266,17 @@
                     static_cast<std::int64_t>(step.units_left) * kind.accelerators() * (kind.gang() ? kind.count() : 1);
                 continue;
             }
-            if (!key)
-                key = find_order(this->find_prospect(job, now), now);
+            if (!key) {
+                const job_prospect prospect = this->find_prospect(job, now);
+                key = find_order(prospect, now);
+                is_job_in_time = is_in_time(prospect, now);
+            }
             std::int64_t tasks = 0;
             for (const std::uint32_t unit_row : step.waiting)
                 tasks += job.units[unit_row].task_count;
             load.waiting_accelerators += tasks * kind.accelerators();
             load.oldest_wait = std::max(load.oldest_wait, now - job.arrived);
-            waiting.push_back({&job, row, this->find_rank(job), *key, tasks * kind.accelerators()});
+            waiting.push_back({&job, row, this->find_rank(job), *key, is_job_in_time});
         }
     }
     std::sort(waiting.begin(), waiting.end(), [](const waiting_step& left, const waiting_step& right) {
@@ -358,6 +365,9 @@
     const bool is_urgent = waiting.rank <= work_rank::urgent;
     if (!is_urgent && (this->reservations >= reservation_limit || now - job.arrived < reservation_wait))
         return;
+    // Work without checkpoints is stopped only for a guarantee, or for urgent work that it brings in time.
+    const bool may_lose_work = waiting.rank == work_rank::guaranteed_urgent ||
+                               (waiting.rank == work_rank::urgent && waiting.is_in_time);
     std::vector<stoppable_unit> units;
     std::vector<std::pair<job_run*, unit*>> owners;
     for (auto& [id, other] : this->ledger.jobs()) {
@@ -368,8 +378,7 @@
             if (running.members.empty() || running.is_done || other.step_of(running).lasting())
                 continue;
             const records::Step& step = other.step_of(running);
-            // Work without checkpoints is stopped for urgent work only.
-            if (!is_urgent && !step.checkpointing())
+            if (!may_lose_work && !step.checkpointing())
                 continue;
             stoppable_unit candidate;
             candidate.each = find_need(step);
@@ -395,6 +404,13 @@
             this->add_event("no_room", job.id, "rank=" + std::string(find_name(waiting.rank)));
         return;
     }
+    const double own_work = measure_cores(need.each) * static_cast<double>(need.count) *
+                            to_seconds(milliseconds(job.step_of(part).estimate_ms()));
+    if (waiting.rank == work_rank::urgent && plan->cost > own_work * most_lost_work) {
+        this->add_event("stops_not_worth_it", job.id,
+                        "lost=" + std::to_string(plan->cost) + " own=" + std::to_string(own_work));
+        return;
+    }
     for (const std::size_t victim : plan->victims) {
         auto& [owner, running] = owners[victim];
         if (units[victim].cost == 0)
--- a/libraries/dispatch/dispatcher.h
+++ b/libraries/dispatch/dispatcher.h
@@ -92,7 +92,7 @@
         std::uint32_t step_row = 0;
         work_rank rank = work_rank::regular;
         order_key key;
-        std::int64_t size = 0; // Accelerators, or cores where it needs none.
+        bool is_in_time = false;
     };
 
     // What waits in a queue and what its jobs use.
--- a/libraries/dispatch/run_ledger.cpp
+++ b/libraries/dispatch/run_ledger.cpp
@@ -50,7 +50,7 @@
     for (std::uint32_t occurrence = 0; occurrence < occurrences; ++occurrence)
         this->make_occurrence(job, occurrence, now);
     for (const records::UnitProgress& saved : progress.units())
-        this->adopt_unit(job, saved, progress);
+        this->adopt_unit(job, saved, progress, now);
     for (std::uint32_t occurrence = 0; occurrence < occurrences; ++occurrence)
         this->open_steps(job, occurrence, now);
     if (!is_wanted(job)) {
@@ -123,13 +123,15 @@
     }
 }
 
-void run_ledger::adopt_unit(job_run& job, const records::UnitProgress& saved, const records::JobProgress& progress)
+void run_ledger::adopt_unit(job_run& job, const records::UnitProgress& saved, const records::JobProgress& progress,
+                            boot_time now)
 {
     std::uint32_t member_index = 0;
     unit* part = this->find_unit(job, {saved.occurrence(), saved.step(), saved.first_task()}, member_index);
     if (part == nullptr)
         return;
     part->run = saved.run();
+    part->placed_at = now; // When it was, is not recorded; its work is taken as new.
     part->failures = saved.failures();
     part->checkpoint = saved.checkpoint();
     if (saved.done()) {
--- a/libraries/dispatch/work_order.cpp
+++ b/libraries/dispatch/work_order.cpp
@@ -17,17 +17,21 @@
 
 } // namespace
 
+bool is_in_time(const job_prospect& job, boot_time now)
+{
+    return now + job.chain <= job.objective;
+}
+
 order_key find_order(const job_prospect& job, boot_time now)
 {
     const milliseconds slack = job.objective - now - job.chain;
-    const bool is_in_time = slack >= milliseconds(0);
     const bool is_of_use = now + job.chain < job.last_use;
     const std::int64_t age_key = job.arrived.time_since_epoch().count();
     switch (job.rank) {
     case work_rank::guaranteed_urgent:
         return {tier::guaranteed, age_key};
     case work_rank::urgent:
-        if (is_in_time)
+        if (is_in_time(job, now))
             return {tier::urgent_in_time, slack.count()};
         return {is_of_use ? tier::urgent_late : tier::useless, age_key};
     case work_rank::regular:
@@ -35,7 +39,7 @@
         break;
     }
     const milliseconds patience = job.rank == work_rank::background ? background_patience : milliseconds(0);
-    if (is_in_time)
+    if (is_in_time(job, now))
         return {tier::in_time, (slack + patience).count()};
     return {is_of_use ? tier::late : tier::useless, age_key + patience.count()};
 }
--- a/libraries/dispatch/work_order.h
+++ b/libraries/dispatch/work_order.h
@@ -35,4 +35,7 @@
 
 order_key find_order(const job_prospect& job, boot_time now);
 
+// Whether the job still ends in time if it begins now.
+bool is_in_time(const job_prospect& job, boot_time now);
+
 } // namespace wigeon
