Executors that fail what they start rest, tasks that stand still move, and a failure counts once across leaders

A leader that was killed had recorded a gang's failure while another member was unresolved; its successor saw the end listed again and counted it again. The run whose failure is counted is recorded now. Executors on which a unit failed are avoided while the others could hold it; two failures in a row, or one right after the start, rest an executor; if more than a quarter would rest, none does. Tests: run_ledger_story/a_new_leader/does_not_count_a_failure_again..., seen red; executor_health_story; placement_story.

--- a/libraries/dispatch/dispatcher.cpp
+++ b/libraries/dispatch/dispatcher.cpp
@@ -3,7 +3,7 @@
 #include "dispatch/dispatcher.h"
 
 #include <algorithm>
-#include <memory>
+#include <limits>
 
 #include "jobs/job_table.h"
 
@@ -28,11 +28,6 @@
 // A unit of regular or background work gets executors kept free after it has waited this long.
 constexpr milliseconds reservation_wait{2'500};
 
-// An executor that failed this many tasks in a row, of at least two jobs, gets none for a while.
-constexpr std::uint32_t distrust_failures = 3;
-constexpr std::size_t distrust_jobs = 2;
-constexpr milliseconds distrust_time{8'000};
-
 // What a stop costs beside the work since the last checkpoint: the caller's wait, in core-seconds of an 8-accelerator
 // task.
 constexpr double stop_base_cost = 5.0;
@@ -169,6 +164,7 @@
 
 void dispatcher::build_slots(boot_time now)
 {
+    std::size_t distrusted = 0;
     this->slots.clear();
     this->slot_rows.clear();
     for (const auto& [id, host] : this->book.all()) {
@@ -182,13 +178,18 @@
         place.labels = host.entry.labels;
         place.room = host.entry.room;
         place.free = host.free_room();
-        place.is_distrusted = host.distrusted_until && now < *host.distrusted_until;
+        place.is_distrusted = host.health.is_distrusted(now);
+        distrusted += place.is_distrusted ? 1 : 0;
         this->slot_rows[place.executor] = this->slots.size();
         this->slots.push_back(place);
     }
+    if (is_distrust_plausible(distrusted, this->slots.size()))
+        return;
+    for (slot& place : this->slots)
+        place.is_distrusted = false;
 }
 
-milliseconds dispatcher::find_chain(const job_run& job) const
+milliseconds dispatcher::find_chain(const job_run& job, bool is_whole) const
 {
     // Steps wait for earlier ones only, so one pass finds the longest chain of what is not done.
     std::vector<std::int64_t> chain(static_cast<std::size_t>(job.submission.steps_size()), 0);
@@ -200,7 +201,7 @@
             if (earlier < chain.size())
                 before = std::max(before, chain[earlier]);
         }
-        const bool is_done = std::any_of(job.steps.begin(), job.steps.end(), [row](const step_run& made) {
+        const bool is_done = !is_whole && std::any_of(job.steps.begin(), job.steps.end(), [row](const step_run& made) {
             return made.step == static_cast<std::uint32_t>(row) && made.units_left == 0;
         });
         chain[static_cast<std::size_t>(row)] = before + (is_done ? 0 : step.estimate_ms());
@@ -212,15 +213,12 @@
 job_prospect dispatcher::find_prospect(const job_run& job, boot_time now) const
 {
     static_cast<void>(now);
-    std::int64_t whole = 0;
-    for (const records::Step& step : job.submission.steps())
-        whole += step.estimate_ms();
+    const auto whole = static_cast<double>(this->find_chain(job, true).count());
     job_prospect prospect;
     prospect.rank = this->find_rank(job);
     prospect.arrived = job.arrived;
-    prospect.chain = this->find_chain(job) + path_time;
-    const auto allowed =
-        milliseconds(static_cast<std::int64_t>(job.policy.stretch * static_cast<double>(whole))) + job.policy.target;
+    prospect.chain = this->find_chain(job, false) + path_time;
+    const auto allowed = milliseconds(static_cast<std::int64_t>(job.policy.stretch * whole)) + job.policy.target;
     prospect.objective = job.arrived + allowed;
     prospect.last_use = job.arrived + last_use_factor * allowed;
     return prospect;
@@ -257,6 +255,7 @@
             continue;
         std::optional<order_key> key;
         bool is_job_in_time = false;
+        milliseconds slack{0};
         waiting_load& load = this->loads[job.submission.queue()];
         for (std::uint32_t row = 0; row < job.steps.size(); ++row) {
             const step_run& step = job.steps[row];
@@ -270,13 +269,14 @@
                 const job_prospect prospect = this->find_prospect(job, now);
                 key = find_order(prospect, now);
                 is_job_in_time = is_in_time(prospect, now);
+                slack = prospect.objective - now - prospect.chain;
             }
             std::int64_t tasks = 0;
             for (const std::uint32_t unit_row : step.waiting)
                 tasks += job.units[unit_row].task_count;
             load.waiting_accelerators += tasks * kind.accelerators();
             load.oldest_wait = std::max(load.oldest_wait, now - job.arrived);
-            waiting.push_back({&job, row, this->find_rank(job), *key, is_job_in_time});
+            waiting.push_back({&job, row, this->find_rank(job), *key, is_job_in_time, slack});
         }
     }
     std::sort(waiting.begin(), waiting.end(), [](const waiting_step& left, const waiting_step& right) {
@@ -302,6 +302,17 @@
     return present;
 }
 
+// Marks the executors on which the unit failed, unless it could not run without them.
+void dispatcher::avoid_failed(const unit& part, const placement_need& need)
+{
+    for (slot& place : this->slots)
+        place.is_avoided = !part.failed_on.empty() && part.failed_on.contains(place.executor);
+    if (part.failed_on.empty() || could_ever_fit(need, this->slots))
+        return;
+    for (slot& place : this->slots)
+        place.is_avoided = false;
+}
+
 bool dispatcher::place_unit(const waiting_step& waiting, std::uint32_t unit_row, boot_time now)
 {
     job_run& job = *waiting.job;
@@ -318,10 +329,8 @@
     need.may_leave_data_rack = now - part.waiting_since > milliseconds(step.estimate_ms());
     need.per_executor = step.tasks_per_executor();
     const std::vector<std::uint32_t> present = this->count_present(job, part);
-    const std::unique_ptr<bool[]> avoided = std::make_unique<bool[]>(this->slots.size());
-    for (std::size_t row = 0; row < this->slots.size(); ++row)
-        avoided[row] = part.failed_on.contains(this->slots[row].executor);
-    const auto places = find_places(need, this->slots, present, {avoided.get(), this->slots.size()});
+    this->avoid_failed(part, need);
+    const auto places = find_places(need, this->slots, present);
     if (!places) {
         this->make_room(waiting, unit_row, need, present, now);
         return false;
@@ -335,7 +344,9 @@
     std::string detail = "rank=" + std::string(find_name(waiting.rank)) + " run=" + std::to_string(part.run) +
                          " step=" + std::to_string(job.steps[waiting.step_row].step) +
                          " tasks=" + std::to_string(part.task_count) +
-                         " waited_ms=" + std::to_string((now - part.waiting_since).count()) + " on=";
+                         " waited_ms=" + std::to_string((now - part.waiting_since).count()) +
+                         " slack_ms=" + std::to_string(waiting.slack.count()) +
+                         " estimate_ms=" + std::to_string(step.estimate_ms()) + " on=";
     for (const std::string& id : executors)
         detail += id + " ";
     this->add_event("placed", job.id, detail);
@@ -366,8 +377,8 @@
     if (!is_urgent && (this->reservations >= reservation_limit || now - job.arrived < reservation_wait))
         return;
     // Work without checkpoints is stopped only for a guarantee, or for urgent work that it brings in time.
-    const bool may_lose_work = waiting.rank == work_rank::guaranteed_urgent ||
-                               (waiting.rank == work_rank::urgent && waiting.is_in_time);
+    const bool may_lose_work =
+        waiting.rank == work_rank::guaranteed_urgent || (waiting.rank == work_rank::urgent && waiting.is_in_time);
     std::vector<stoppable_unit> units;
     std::vector<std::pair<job_run*, unit*>> owners;
     for (auto& [id, other] : this->ledger.jobs()) {
@@ -428,17 +439,42 @@
         ++this->reservations;
 }
 
-void dispatcher::judge_executors(boot_time now)
+// Stops units that stand still, so that they are placed elsewhere.
+void dispatcher::move_stuck_units(boot_time now)
 {
-    for (auto& [id, host] : this->book.all()) {
-        const bool is_suspect =
-            host.failures_in_row >= distrust_failures && host.ended_tasks_of_failures.size() >= distrust_jobs;
-        if (!is_suspect || (host.distrusted_until && now < *host.distrusted_until))
+    for (auto& [id, job] : this->ledger.jobs()) {
+        if (is_final(job.phase) || job.unresolved == 0)
             continue;
-        host.distrusted_until = now + distrust_time;
-        // One more failure afterwards is enough to distrust it again.
-        host.failures_in_row = distrust_failures - 1;
-        this->add_event("executor_distrusted", {}, id);
+        for (unit& part : job.units) {
+            if (!part.is_done && !part.members.empty() && !job.step_of(part).lasting())
+                this->move_if_stuck(job, part, now);
+        }
+    }
+}
+
+void dispatcher::move_if_stuck(job_run& job, unit& part, boot_time now)
+{
+    std::uint32_t lowest = std::numeric_limits<std::uint32_t>::max();
+    for (const member& task : part.members) {
+        // Without all its members a gang does not move.
+        if (task.phase != member_phase::running || task.is_stop_wanted)
+            return;
+        lowest = std::min(lowest, task.progress.percent);
+    }
+    for (const member& task : part.members) {
+        executor* host = this->book.find(task.executor);
+        if (host == nullptr || !host->last_look_sent || task.progress.percent > lowest)
+            continue;
+        if (!is_standing_still(task.progress, *host->last_look_sent, now))
+            continue;
+        host->health.note_bad_progress(now);
+        part.failed_on.insert(task.executor);
+        this->add_event("stopped_standing_still", job.id,
+                        "executor=" + task.executor + " run=" + std::to_string(part.run) +
+                            " percent=" + std::to_string(task.progress.percent) +
+                            " running_ms=" + std::to_string((now - part.placed_at).count()));
+        this->ledger.stop_unit(job, part, now);
+        return;
     }
 }
 
@@ -447,7 +483,7 @@
     this->ledger.resolve_lapsed(now);
     for (auto& [id, job] : this->ledger.jobs())
         this->ledger.open_due_occurrences(job, wall_ms, now);
-    this->judge_executors(now);
+    this->move_stuck_units(now);
     this->count_urgent_demand();
     this->build_slots(now);
     this->reservations = 0;
--- a/libraries/dispatch/dispatcher.h
+++ b/libraries/dispatch/dispatcher.h
@@ -93,6 +93,7 @@
         work_rank rank = work_rank::regular;
         order_key key;
         bool is_in_time = false;
+        milliseconds slack{0}; // Until it must begin to end in time, by its estimates.
     };
 
     // What waits in a queue and what its jobs use.
@@ -106,14 +107,17 @@
     std::vector<waiting_step> list_waiting(boot_time now);
     [[nodiscard]] work_rank find_rank(const job_run& job) const;
     [[nodiscard]] job_prospect find_prospect(const job_run& job, boot_time now) const;
-    [[nodiscard]] milliseconds find_chain(const job_run& job) const;
+    // The longest chain of steps by their estimates; of those that are not done, or of all.
+    [[nodiscard]] milliseconds find_chain(const job_run& job, bool is_whole) const;
     void count_urgent_demand();
     bool place_unit(const waiting_step& waiting, std::uint32_t unit_row, boot_time now);
     void make_room(const waiting_step& waiting, std::uint32_t unit_row, const placement_need& need,
                    std::span<const std::uint32_t> present, boot_time now);
     void keep_reservation(const unit& part, const resources& each);
     [[nodiscard]] std::vector<std::uint32_t> count_present(const job_run& job, const unit& part) const;
-    void judge_executors(boot_time now);
+    void avoid_failed(const unit& part, const placement_need& need);
+    void move_stuck_units(boot_time now);
+    void move_if_stuck(job_run& job, unit& part, boot_time now);
     void add_event(std::string name, std::string job, std::string detail);
 
     dispatch_bounds bounds;
--- a/libraries/dispatch/executor_book.cpp
+++ b/libraries/dispatch/executor_book.cpp
@@ -34,9 +34,7 @@
         target.latest_deadline = milliseconds(0);
         target.last_end_noted = 0;
         target.last_end_seen = 0;
-        target.failures_in_row = 0;
-        target.ended_tasks_of_failures.clear();
-        target.distrusted_until.reset();
+        target.health = {};
     }
     static_cast<void>(now);
     return is_reborn;
--- a/libraries/dispatch/executor_book.h
+++ b/libraries/dispatch/executor_book.h
@@ -6,12 +6,12 @@
 #include <cstdint>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include "base/time.h"
+#include "dispatch/executor_health.h"
 #include "dispatch/resources.h"
 
 namespace wigeon {
@@ -73,13 +73,11 @@
     std::optional<boot_time> last_look_sent; // Of the newest look that was answered.
     std::optional<boot_time> clock_read_at;  // When `clock` was received.
     milliseconds clock{0};
-    milliseconds latest_deadline{0};   // The highest that was sent, on the executor's clock.
-    std::uint64_t last_end_noted = 0;  // Ends up to here are in the store.
-    std::uint64_t last_end_seen = 0;   // At least last_end_noted.
-    resources used;                    // By members that are not resolved.
-    std::uint32_t failures_in_row = 0; // Ends `failed` since the last `done`.
-    std::optional<boot_time> distrusted_until;
-    std::set<std::string, std::less<>> ended_tasks_of_failures; // Jobs that failed here since the last success.
+    milliseconds latest_deadline{0};  // The highest that was sent, on the executor's clock.
+    std::uint64_t last_end_noted = 0; // Ends up to here are in the store.
+    std::uint64_t last_end_seen = 0;  // At least last_end_noted.
+    resources used;                   // By members that are not resolved.
+    failure_streak health;
 
     [[nodiscard]] resources free_room() const { return this->entry.room - this->used; }
 };
--- a/libraries/dispatch/job_run.h
+++ b/libraries/dispatch/job_run.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "base/time.h"
+#include "dispatch/executor_health.h"
 #include "dispatch/resources.h"
 #include "jobs.pb.h"
 #include "jobs/fleet_policy.h"
@@ -34,7 +35,7 @@
     bool is_stop_on_way = false;
     std::optional<boot_time> stop_tried_at;
     std::optional<boot_time> stopped_at; // The stop was acknowledged: no order on its way can start it any more.
-    std::uint32_t percent = 0;
+    task_progress progress;
 };
 
 // One task, or all tasks of a gang: placed, run, failed and retried as one.
@@ -45,7 +46,7 @@
     std::uint32_t run = 0; // The highest run number given out; never reused.
     std::uint32_t failures = 0;
     bool is_done = false;
-    bool is_failure_counted = false; // Of the present run.
+    std::uint32_t counted_run = 0; // The last run whose failure is in `failures`.
     std::string checkpoint;
     std::vector<member> members; // One a task; empty unless placed and not settled.
     boot_time waiting_since;
--- a/libraries/dispatch/placement.cpp
+++ b/libraries/dispatch/placement.cpp
@@ -5,7 +5,7 @@
 #include <algorithm>
 #include <limits>
 #include <map>
-#include <tuple>
+#include <utility>
 
 namespace wigeon {
 
@@ -20,8 +20,7 @@
 
 // Fills `count` tasks one by one into the given rows; nothing when they don't fit.
 std::optional<std::vector<std::size_t>> fill(const placement_need& need, std::span<const slot> slots,
-                                             std::span<const std::size_t> rows, count_on_executor present,
-                                             std::span<const bool> avoided)
+                                             std::span<const std::size_t> rows, count_on_executor present)
 {
     std::vector<resources> free;
     std::vector<std::uint32_t> taken(rows.size(), 0);
@@ -31,16 +30,15 @@
     std::vector<std::size_t> places;
     for (std::uint32_t task = 0; task < need.count; ++task) {
         std::size_t best = no_slot;
-        std::tuple<bool, std::int64_t, std::int64_t> best_score;
+        std::pair<std::int64_t, std::int64_t> best_score;
         for (std::size_t index = 0; index < rows.size(); ++index) {
             if (!need.each.fits_in(free[index]))
                 continue;
             const std::size_t row = rows[index];
             if (need.per_executor > 0 && count_present(present, row) + taken[index] >= need.per_executor)
                 continue;
-            const bool is_avoided = !avoided.empty() && avoided[row];
             const resources left = free[index] - need.each;
-            const std::tuple score{is_avoided, left.accelerators, left.memory_mb};
+            const std::pair score{left.accelerators, left.memory_mb};
             if (best == no_slot || score < best_score) {
                 best = index;
                 best_score = score;
@@ -90,7 +88,7 @@
 
 bool is_eligible(const placement_need& need, const slot& place)
 {
-    if (place.is_distrusted || place.pool != need.pool)
+    if (place.is_distrusted || place.is_avoided || place.pool != need.pool)
         return false;
     if (!need.required_label.empty() &&
         std::find(place.labels.begin(), place.labels.end(), need.required_label) == place.labels.end())
@@ -99,7 +97,7 @@
 }
 
 std::optional<std::vector<std::size_t>> find_places(const placement_need& need, std::span<const slot> slots,
-                                                    count_on_executor present, std::span<const bool> avoided)
+                                                    count_on_executor present)
 {
     if (need.count > 1 && need.same_rack && could_fit_in_rack(need, slots)) {
         std::optional<std::vector<std::size_t>> best;
@@ -113,7 +111,7 @@
             }
             if (held < need.count || left >= best_left)
                 continue;
-            auto places = fill(need, slots, rows, present, avoided);
+            auto places = fill(need, slots, rows, present);
             if (places) {
                 best = std::move(places);
                 best_left = left;
@@ -131,15 +129,17 @@
             near_data.push_back(row);
     }
     if (!near_data.empty()) {
-        auto places = fill(need, slots, near_data, present, avoided);
+        auto places = fill(need, slots, near_data, present);
         if (places)
             return places;
     }
-    return fill(need, slots, rows, present, avoided);
+    return fill(need, slots, rows, present);
 }
 
 bool could_ever_fit(const placement_need& need, std::span<const slot> slots)
 {
+    if (need.count > 1 && need.same_rack && could_fit_in_rack(need, slots))
+        return true;
     std::int64_t held = 0;
     for (const slot& place : slots) {
         if (is_eligible(need, place))
--- a/libraries/dispatch/placement.h
+++ b/libraries/dispatch/placement.h
@@ -22,7 +22,8 @@
     std::span<const std::string> labels;
     resources room;             // All of it.
     resources free;             // Not used and not reserved; may be negative.
-    bool is_distrusted = false; // Used only where nothing else would ever do.
+    bool is_distrusted = false; // Gets no new task for now.
+    bool is_avoided = false;    // The unit that is being placed failed there.
 };
 
 struct placement_need {
@@ -39,12 +40,11 @@
 // Tasks of the same step that an executor has already.
 using count_on_executor = std::span<const std::uint32_t>; // One a slot; empty: none anywhere.
 
-// Rows of slots, one a task, or nothing when the unit does not fit now. `avoided` has an entry a slot (or none at all):
-// such executors are taken only when no other fits.
+// Rows of slots, one a task, or nothing when the unit does not fit now.
 std::optional<std::vector<std::size_t>> find_places(const placement_need& need, std::span<const slot> slots,
-                                                    count_on_executor present, std::span<const bool> avoided);
+                                                    count_on_executor present);
 
-// Whether the unit would fit on these executors if they were empty.
+// Whether the unit would fit on these executors if they were empty; in one rack if it asks for that.
 bool could_ever_fit(const placement_need& need, std::span<const slot> slots);
 
 // Whether the slot may take tasks of this need at all, whatever is free.
--- a/libraries/dispatch/run_ledger.cpp
+++ b/libraries/dispatch/run_ledger.cpp
@@ -133,6 +133,7 @@
     part->run = saved.run();
     part->placed_at = now; // When it was, is not recorded; its work is taken as new.
     part->failures = saved.failures();
+    part->counted_run = saved.counted_run();
     part->checkpoint = saved.checkpoint();
     if (saved.done()) {
         part->is_done = true;
@@ -192,7 +193,6 @@
 {
     unit& part = job.units[unit_row];
     ++part.run;
-    part.is_failure_counted = false;
     part.placed_at = now;
     part.reserved_on.clear();
     std::erase(job.steps[part.step_run].waiting, unit_row);
@@ -362,9 +362,9 @@
 
 void run_ledger::note_failure(job_run& job, unit& part, executor& source, boot_time now)
 {
-    if (part.is_failure_counted || part.is_done)
+    if (part.counted_run == part.run || part.is_done)
         return;
-    part.is_failure_counted = true;
+    part.counted_run = part.run;
     part.failed_on.insert(source.entry.id);
     job.is_changed = true;
     if (job.step_of(part).lasting())
@@ -388,8 +388,7 @@
         return;
     const bool is_lasting = job->step_of(*part).lasting();
     if (ended.ending == run_ending::done && !is_lasting) {
-        source.failures_in_row = 0;
-        source.ended_tasks_of_failures.clear();
+        source.health.note_success();
         const bool was_done = part->is_done;
         this->finish_unit(*job, *part, now);
         // An earlier run may turn out to be done only now.
@@ -404,8 +403,7 @@
     if (!ended.checkpoint.empty() && ended.ending != run_ending::done)
         part->checkpoint = ended.checkpoint;
     if (ended.ending == run_ending::failed) {
-        ++source.failures_in_row;
-        source.ended_tasks_of_failures.insert(job->id);
+        source.health.note_failure(now - part->placed_at, milliseconds(job->step_of(*part).estimate_ms()), now);
         this->note_failure(*job, *part, source, now);
     }
     if (!part->members.empty())
@@ -431,7 +429,7 @@
     }
     member& task = part->members[member_index];
     task.born_ms = born_ms;
-    task.percent = shown.percent;
+    task.progress.note(shown.percent, now);
     if (task.phase != member_phase::planned)
         task.phase = member_phase::running;
     task.confirmed_at = std::max(task.confirmed_at, sent_at);
@@ -588,6 +586,7 @@
         saved.set_first_task(part.first_task);
         saved.set_run(part.run);
         saved.set_failures(part.failures);
+        saved.set_counted_run(part.counted_run);
         saved.set_done(part.is_done);
         if (part.is_done)
             continue;
--- a/libraries/dispatch/run_ledger.h
+++ b/libraries/dispatch/run_ledger.h
@@ -103,7 +103,8 @@
 private:
     void make_occurrence(job_run& job, std::uint32_t occurrence, boot_time now);
     void open_steps(job_run& job, std::uint32_t occurrence, boot_time now);
-    void adopt_unit(job_run& job, const records::UnitProgress& saved, const records::JobProgress& progress, boot_time now);
+    void adopt_unit(job_run& job, const records::UnitProgress& saved, const records::JobProgress& progress,
+                    boot_time now);
     unit* find_unit(job_run& job, const task_place& place, std::uint32_t& member_index);
     member* find_member(const member_reference& target, job_run*& job, unit*& part);
     void take_end(executor& source, const ended_task& ended, boot_time now);
--- a/tests/dispatch/placement_test.cpp
+++ b/tests/dispatch/placement_test.cpp
@@ -43,7 +43,7 @@
 BOOST_AUTO_TEST_CASE(goes_where_it_leaves_the_least_behind)
 {
     const std::array slots{make_slot("whole", "r1", 8), make_slot("broken", "r1", 3)};
-    const auto places = find_places(make_need(1, 2), slots, {}, {});
+    const auto places = find_places(make_need(1, 2), slots, {});
     BOOST_REQUIRE(places.has_value());
     BOOST_TEST(places->front() == 1U);
 }
@@ -53,11 +53,11 @@
     std::array slots{make_slot("one", "r1", 8)};
     placement_need need = make_need(1, 1);
     need.required_label = "b";
-    BOOST_TEST(!find_places(need, slots, {}, {}).has_value());
+    BOOST_TEST(!find_places(need, slots, {}).has_value());
     need.required_label = "a";
-    BOOST_TEST(find_places(need, slots, {}, {}).has_value());
+    BOOST_TEST(find_places(need, slots, {}).has_value());
     slots[0].pool = "other";
-    BOOST_TEST(!find_places(need, slots, {}, {}).has_value());
+    BOOST_TEST(!find_places(need, slots, {}).has_value());
 }
 
 BOOST_AUTO_TEST_CASE(stays_near_its_data_until_it_may_leave)
@@ -65,18 +65,21 @@
     const std::array slots{make_slot("near", "r1", 0), make_slot("far", "r2", 8)};
     placement_need need = make_need(1, 1);
     need.data_rack = "r1";
-    BOOST_TEST(!find_places(need, slots, {}, {}).has_value());
+    BOOST_TEST(!find_places(need, slots, {}).has_value());
     need.may_leave_data_rack = true;
-    BOOST_TEST(find_places(need, slots, {}, {}).has_value());
+    BOOST_TEST(find_places(need, slots, {}).has_value());
 }
 
-BOOST_AUTO_TEST_CASE(avoids_where_it_failed_while_there_is_another_place)
+BOOST_AUTO_TEST_CASE(is_not_placed_where_it_failed)
 {
-    const std::array slots{make_slot("failed", "r1", 1), make_slot("other", "r1", 8)};
-    const std::array avoided{true, false};
-    BOOST_TEST(find_places(make_need(1, 1), slots, {}, avoided)->front() == 1U);
-    const std::array full{make_slot("failed", "r1", 1), make_slot("other", "r1", 0)};
-    BOOST_TEST(find_places(make_need(1, 1), full, {}, avoided)->front() == 0U);
+    std::array slots{make_slot("failed", "r1", 1), make_slot("other", "r1", 8)};
+    slots[0].is_avoided = true;
+    BOOST_TEST(find_places(make_need(1, 1), slots, {})->front() == 1U);
+    slots[1].free.accelerators = 0;
+    BOOST_TEST(!find_places(make_need(1, 1), slots, {}).has_value());
+    BOOST_TEST(could_ever_fit(make_need(1, 1), slots));
+    slots[1].is_avoided = true;
+    BOOST_TEST(!could_ever_fit(make_need(1, 1), slots));
 }
 
 BOOST_AUTO_TEST_CASE(keeps_to_the_bound_of_tasks_on_one_executor)
@@ -85,9 +88,9 @@
     placement_need need = make_need(1, 1);
     need.per_executor = 1;
     const std::array<std::uint32_t, 2> present{1, 0};
-    BOOST_TEST(find_places(need, slots, present, {})->front() == 1U);
+    BOOST_TEST(find_places(need, slots, present)->front() == 1U);
     const std::array<std::uint32_t, 2> both{1, 1};
-    BOOST_TEST(!find_places(need, slots, both, {}).has_value());
+    BOOST_TEST(!find_places(need, slots, both).has_value());
 }
 
 BOOST_AUTO_TEST_SUITE_END()
@@ -97,8 +100,8 @@
 BOOST_AUTO_TEST_CASE(is_placed_whole_or_not_at_all)
 {
     const std::array slots{make_slot("one", "r1", 8), make_slot("two", "r2", 4)};
-    BOOST_TEST(find_places(make_need(3, 4), slots, {}, {})->size() == 3U);
-    BOOST_TEST(!find_places(make_need(4, 4), slots, {}, {}).has_value());
+    BOOST_TEST(find_places(make_need(3, 4), slots, {})->size() == 3U);
+    BOOST_TEST(!find_places(make_need(4, 4), slots, {}).has_value());
 }
 
 BOOST_AUTO_TEST_CASE(keeps_to_one_rack_when_a_rack_could_hold_it)
@@ -106,12 +109,12 @@
     const std::array slots{make_slot("a1", "r1", 8), make_slot("b1", "r2", 8), make_slot("b2", "r2", 8)};
     placement_need need = make_need(2, 8);
     need.same_rack = true;
-    const auto places = find_places(need, slots, {}, {});
+    const auto places = find_places(need, slots, {});
     BOOST_REQUIRE(places.has_value());
     BOOST_TEST((*places)[0] != 0U);
     BOOST_TEST((*places)[1] != 0U);
     const std::array split{make_slot("a1", "r1", 8), make_slot("b1", "r2", 8), make_slot("b2", "r2", 0)};
-    BOOST_TEST(!find_places(need, split, {}, {}).has_value());
+    BOOST_TEST(!find_places(need, split, {}).has_value());
 }
 
 BOOST_AUTO_TEST_CASE(spreads_over_racks_when_no_rack_could_ever_hold_it)
@@ -119,7 +122,7 @@
     const std::array slots{make_slot("a1", "r1", 8), make_slot("b1", "r2", 8)};
     placement_need need = make_need(2, 8);
     need.same_rack = true;
-    BOOST_TEST(find_places(need, slots, {}, {}).has_value());
+    BOOST_TEST(find_places(need, slots, {}).has_value());
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/dispatch/run_ledger_test.cpp
+++ b/tests/dispatch/run_ledger_test.cpp
@@ -265,6 +265,27 @@
     BOOST_TEST(fresh.collect_stops(this->now).size() == 1U);
 }
 
+BOOST_FIXTURE_TEST_CASE(does_not_count_a_failure_again_that_the_former_leader_recorded, ledger_fixture)
+{
+    job_run& first = this->add_job(2, true);
+    this->place(first, 0, {"e1", "e2"});
+    const std::vector<ended_task> ended{{1, "job.0.0.0", 1, run_ending::failed, ""}};
+    this->look("e1", {}, ended);
+    BOOST_TEST(first.units[0].failures == 1U);
+    // The other member is not resolved yet, and the first executor was not told to forget the end.
+    executor_book fresh_book(milliseconds(6'000), this->now);
+    for (const char* id : {"e1", "e2"})
+        fresh_book.update(this->book.find(id)->entry, this->now);
+    run_ledger fresh(fresh_book, stop_time);
+    job_run& job = fresh.add("job", first.submission, first.policy, run_ledger::make_record(first), this->now);
+    look_report report;
+    report.born_ms = 7;
+    report.clock = milliseconds(20'000);
+    report.ended = ended;
+    fresh.take_look(*fresh_book.find("e1"), report, this->now, this->now);
+    BOOST_TEST(job.units[0].failures == 1U);
+}
+
 BOOST_FIXTURE_TEST_CASE(stops_what_runs_without_a_record, ledger_fixture)
 {
     this->look("e1", {{"unknown.0.0.0", 3, "", 0}}, {});
--- a/tests/models/fleet_model.cpp
+++ b/tests/models/fleet_model.cpp
@@ -87,11 +87,21 @@
     result.report.born_ms = host.entry.born_ms;
     result.report.clock = this->read_clock(host, now);
     for (const auto& [task, run] : host.running)
-        result.report.running.push_back({task, run.run, "", 0});
+        result.report.running.push_back({task, run.run, "", this->find_percent(task, run, now)});
     result.report.ended = host.ended;
     return result;
 }
 
+std::uint32_t fleet_model::find_percent(const std::string& task, const run_state& run, boot_time now) const
+{
+    const records::Step* step = this->find_step(task);
+    if (!run.working_since || step == nullptr || step->estimate_ms() == 0)
+        return 0;
+    constexpr std::int64_t whole = 100;
+    return static_cast<std::uint32_t>(
+        std::min<std::int64_t>((now - *run.working_since).count() * whole / step->estimate_ms(), whole));
+}
+
 order_result fleet_model::start(const start_order& order, milliseconds deadline, std::uint64_t token, boot_time now)
 {
     this->advance(now);
--- a/tests/models/fleet_model.h
+++ b/tests/models/fleet_model.h
@@ -76,6 +76,7 @@
     void extend(host_state& host, milliseconds deadline, boot_time now);
     [[nodiscard]] const records::Step* find_step(const std::string& task) const;
     [[nodiscard]] std::vector<std::string> list_members(const std::string& task) const;
+    [[nodiscard]] std::uint32_t find_percent(const std::string& task, const run_state& run, boot_time now) const;
     host_state* find_host_of(const std::string& task, std::uint32_t run);
 
     fleet_bounds bounds;
