Cheaper rounds of the leader: one plan of stops a round, no second try of what did not fit, paced by their own length

Each waiting urgent job listed all running units anew in each round, and each look compared texts of tasks.

--- a/libraries/dispatch/dispatcher.cpp
+++ b/libraries/dispatch/dispatcher.cpp
@@ -22,6 +22,13 @@
 // shows the end, and one round.
 constexpr milliseconds reservation_time{1'500};
 
+// A unit that got no room is not planned for again before this time; urgent work has some hundred milliseconds to
+// spare.
+constexpr milliseconds make_room_pause{40};
+
+// Standing still is judged over seconds.
+constexpr milliseconds move_interval{250};
+
 // Wide units for which executors are kept free in one round; more would idle too much of the fleet.
 constexpr std::size_t reservation_limit = 2;
 
@@ -313,10 +320,8 @@
         place.is_avoided = false;
 }
 
-bool dispatcher::place_unit(const waiting_step& waiting, std::uint32_t unit_row, boot_time now)
+placement_need dispatcher::make_need(const job_run& job, const unit& part, boot_time now)
 {
-    job_run& job = *waiting.job;
-    unit& part = job.units[unit_row];
     const records::Step& step = job.step_of(part);
     placement_need need;
     need.pool = job.policy.pool;
@@ -328,12 +333,34 @@
     // Elsewhere the work takes several times as long; waiting for as long as the work itself costs less.
     need.may_leave_data_rack = now - part.waiting_since > milliseconds(step.estimate_ms());
     need.per_executor = step.tasks_per_executor();
+    return need;
+}
+
+// Room only shrinks within a round, so that what did not fit before does not fit in a larger size either.
+bool dispatcher::is_known_not_to_fit(const placement_need& need) const
+{
+    return std::any_of(this->failed_needs.begin(), this->failed_needs.end(), [&need](const placement_need& failed) {
+        return failed.pool == need.pool && failed.same_rack == need.same_rack &&
+               failed.required_label == need.required_label && failed.data_rack == need.data_rack &&
+               failed.may_leave_data_rack == need.may_leave_data_rack && failed.count <= need.count &&
+               failed.each.fits_in(need.each);
+    });
+}
+
+std::optional<std::vector<std::string>> dispatcher::place_unit(const waiting_step& waiting, std::uint32_t unit_row,
+                                                               boot_time now)
+{
+    job_run& job = *waiting.job;
+    unit& part = job.units[unit_row];
+    const placement_need need = make_need(job, part, now);
     const std::vector<std::uint32_t> present = this->count_present(job, part);
     this->avoid_failed(part, need);
-    const auto places = find_places(need, this->slots, present);
+    const auto places = this->is_known_not_to_fit(need) ? std::nullopt : find_places(need, this->slots, present);
     if (!places) {
+        if (part.failed_on.empty() && need.per_executor == 0)
+            this->failed_needs.push_back(need);
         this->make_room(waiting, unit_row, need, present, now);
-        return false;
+        return std::nullopt;
     }
     std::vector<std::string> executors;
     for (const std::size_t row : *places) {
@@ -341,16 +368,36 @@
         executors.emplace_back(this->slots[row].executor);
     }
     this->ledger.place(job, unit_row, executors, now);
-    std::string detail = "rank=" + std::string(find_name(waiting.rank)) + " run=" + std::to_string(part.run) +
-                         " step=" + std::to_string(job.steps[waiting.step_row].step) +
-                         " tasks=" + std::to_string(part.task_count) +
-                         " waited_ms=" + std::to_string((now - part.waiting_since).count()) +
-                         " slack_ms=" + std::to_string(waiting.slack.count()) +
-                         " estimate_ms=" + std::to_string(step.estimate_ms()) + " on=";
-    for (const std::string& id : executors)
-        detail += id + " ";
-    this->add_event("placed", job.id, detail);
-    return true;
+    return executors;
+}
+
+// Places the step's waiting units in order, as long as they fit.
+void dispatcher::place_step(const waiting_step& waiting, boot_time now)
+{
+    const std::vector<std::uint32_t> units = waiting.job->steps[waiting.step_row].waiting;
+    const milliseconds waited = now - waiting.job->units[units.front()].waiting_since;
+    std::string executors;
+    std::size_t placed = 0;
+    std::uint32_t highest_run = 0;
+    for (const std::uint32_t unit_row : units) {
+        const auto chosen = this->place_unit(waiting, unit_row, now);
+        if (!chosen)
+            break;
+        highest_run = std::max(highest_run, waiting.job->units[unit_row].run);
+        placed += chosen->size();
+        for (const std::string& id : *chosen)
+            executors += id + " ";
+    }
+    if (placed == 0)
+        return;
+    const records::Step& step =
+        waiting.job->submission.steps(static_cast<int>(waiting.job->steps[waiting.step_row].step));
+    this->add_event("placed", waiting.job->id,
+                    "rank=" + std::string(find_name(waiting.rank)) +
+                        " step=" + std::to_string(waiting.job->steps[waiting.step_row].step) +
+                        " run=" + std::to_string(highest_run) + " tasks=" + std::to_string(placed) + " waited_ms=" +
+                        std::to_string(waited.count()) + " slack_ms=" + std::to_string(waiting.slack.count()) +
+                        " estimate_ms=" + std::to_string(step.estimate_ms()) + " on=" + executors);
 }
 
 void dispatcher::keep_reservation(const unit& part, const resources& each)
@@ -362,6 +409,39 @@
     }
 }
 
+// All running units that less urgent work may ever be stopped for, with what a stop would lose.
+void dispatcher::list_stoppable(boot_time now)
+{
+    this->stoppable.clear();
+    this->running_units.clear();
+    for (auto& [id, job] : this->ledger.jobs()) {
+        const work_rank rank = this->find_rank(job);
+        if (rank == work_rank::guaranteed_urgent || job.unresolved == 0)
+            continue;
+        for (unit& part : job.units) {
+            const records::Step& step = job.step_of(part);
+            if (part.members.empty() || part.is_done || step.lasting())
+                continue;
+            running_unit owner{&job, &part, rank, step.checkpointing(), false};
+            stoppable_unit candidate;
+            candidate.each = find_need(step);
+            for (const member& task : part.members) {
+                const auto row = this->slot_rows.find(task.executor);
+                owner.is_stopping = owner.is_stopping || task.is_stop_wanted;
+                if (row != this->slot_rows.end() && task.phase != member_phase::resolved)
+                    candidate.rows.push_back(row->second);
+            }
+            const double elapsed = to_seconds(now - part.placed_at);
+            const double lost = step.checkpointing() ? std::min(elapsed, checkpoint_loss_s) : elapsed;
+            const double cores = measure_cores(candidate.each) * static_cast<double>(part.members.size());
+            candidate.cost = owner.is_stopping ? 0 : stop_base_cost + lost * cores;
+            this->stoppable.push_back(std::move(candidate));
+            this->running_units.push_back(owner);
+        }
+    }
+    this->planner.emplace(this->slots, this->stoppable);
+}
+
 // Stops others for urgent work, or keeps executors free for work that has waited long.
 void dispatcher::make_room(const waiting_step& waiting, std::uint32_t unit_row, const placement_need& need,
                            std::span<const std::uint32_t> present, boot_time now)
@@ -376,40 +456,19 @@
     const bool is_urgent = waiting.rank <= work_rank::urgent;
     if (!is_urgent && (this->reservations >= reservation_limit || now - job.arrived < reservation_wait))
         return;
+    if (part.room_tried_at && now - *part.room_tried_at < make_room_pause)
+        return;
+    part.room_tried_at = now;
     // Work without checkpoints is stopped only for a guarantee, or for urgent work that it brings in time.
     const bool may_lose_work =
         waiting.rank == work_rank::guaranteed_urgent || (waiting.rank == work_rank::urgent && waiting.is_in_time);
-    std::vector<stoppable_unit> units;
-    std::vector<std::pair<job_run*, unit*>> owners;
-    for (auto& [id, other] : this->ledger.jobs()) {
-        const work_rank rank = this->find_rank(other);
-        if (rank <= waiting.rank)
-            continue;
-        for (unit& running : other.units) {
-            if (running.members.empty() || running.is_done || other.step_of(running).lasting())
-                continue;
-            const records::Step& step = other.step_of(running);
-            if (!may_lose_work && !step.checkpointing())
-                continue;
-            stoppable_unit candidate;
-            candidate.each = find_need(step);
-            bool is_stopping = false;
-            for (const member& task : running.members) {
-                const auto row = this->slot_rows.find(task.executor);
-                is_stopping = is_stopping || task.is_stop_wanted;
-                if (row != this->slot_rows.end() && task.phase != member_phase::resolved)
-                    candidate.rows.push_back(row->second);
-            }
-            const double elapsed = to_seconds(now - running.placed_at);
-            const double lost = step.checkpointing() ? std::min(elapsed, checkpoint_loss_s) : elapsed;
-            candidate.cost = is_stopping ? 0
-                                         : stop_base_cost + lost * measure_cores(candidate.each) *
-                                                                static_cast<double>(running.members.size());
-            units.push_back(std::move(candidate));
-            owners.emplace_back(&other, &running);
-        }
+    if (!this->planner)
+        this->list_stoppable(now);
+    for (std::size_t row = 0; row < this->stoppable.size(); ++row) {
+        const running_unit& owner = this->running_units[row];
+        this->stoppable[row].is_allowed = owner.rank > waiting.rank && (may_lose_work || owner.is_checkpointing);
     }
-    const auto plan = plan_preemption(need, this->slots, units, present);
+    const auto plan = this->planner->plan(need, present);
     if (!plan) {
         if (is_urgent)
             this->add_event("no_room", job.id, "rank=" + std::string(find_name(waiting.rank)));
@@ -422,15 +481,20 @@
                         "lost=" + std::to_string(plan->cost) + " own=" + std::to_string(own_work));
         return;
     }
+    std::size_t stopped = 0;
     for (const std::size_t victim : plan->victims) {
-        auto& [owner, running] = owners[victim];
-        if (units[victim].cost == 0)
+        running_unit& owner = this->running_units[victim];
+        if (owner.is_stopping)
             continue;
-        this->add_event("stopped_for", owner->id,
-                        "for=" + job.id + " rank=" + std::string(find_name(waiting.rank)) +
-                            " run=" + std::to_string(running->run) + " lost=" + std::to_string(units[victim].cost));
-        this->ledger.stop_unit(*owner, *running, now);
+        ++stopped;
+        this->add_event("stopped_for", owner.job->id,
+                        "for=" + job.id + " rank=" + std::string(find_name(waiting.rank)) + " run=" +
+                            std::to_string(owner.part->run) + " lost=" + std::to_string(this->stoppable[victim].cost));
+        this->ledger.stop_unit(*owner.job, *owner.part, now);
     }
+    // The list holds pointers to what has just changed.
+    if (stopped > 0)
+        this->planner.reset();
     for (const std::size_t row : plan->places)
         part.reserved_on.emplace_back(this->slots[row].executor);
     part.reserved_at = now;
@@ -483,17 +547,17 @@
     this->ledger.resolve_lapsed(now);
     for (auto& [id, job] : this->ledger.jobs())
         this->ledger.open_due_occurrences(job, wall_ms, now);
-    this->move_stuck_units(now);
+    if (!this->moved_at || now - *this->moved_at >= move_interval) {
+        this->moved_at = now;
+        this->move_stuck_units(now);
+    }
     this->count_urgent_demand();
     this->build_slots(now);
     this->reservations = 0;
-    for (const waiting_step& waiting : this->list_waiting(now)) {
-        const std::vector<std::uint32_t> units = waiting.job->steps[waiting.step_row].waiting;
-        for (const std::uint32_t unit_row : units) {
-            if (!this->place_unit(waiting, unit_row, now))
-                break;
-        }
-    }
+    this->failed_needs.clear();
+    this->planner.reset();
+    for (const waiting_step& waiting : this->list_waiting(now))
+        this->place_step(waiting, now);
 }
 
 dispatch_changes dispatcher::collect_changes()
--- a/libraries/dispatch/dispatcher.h
+++ b/libraries/dispatch/dispatcher.h
@@ -96,6 +96,14 @@
         milliseconds slack{0}; // Until it must begin to end in time, by its estimates.
     };
 
+    struct running_unit {
+        job_run* job = nullptr;
+        unit* part = nullptr;
+        work_rank rank = work_rank::regular;
+        bool is_checkpointing = false;
+        bool is_stopping = false;
+    };
+
     // What waits in a queue and what its jobs use.
     struct waiting_load {
         std::int64_t waiting_accelerators = 0;
@@ -110,7 +118,12 @@
     // The longest chain of steps by their estimates; of those that are not done, or of all.
     [[nodiscard]] milliseconds find_chain(const job_run& job, bool is_whole) const;
     void count_urgent_demand();
-    bool place_unit(const waiting_step& waiting, std::uint32_t unit_row, boot_time now);
+    static placement_need make_need(const job_run& job, const unit& part, boot_time now);
+    [[nodiscard]] bool is_known_not_to_fit(const placement_need& need) const;
+    void place_step(const waiting_step& waiting, boot_time now);
+    std::optional<std::vector<std::string>> place_unit(const waiting_step& waiting, std::uint32_t unit_row,
+                                                       boot_time now);
+    void list_stoppable(boot_time now);
     void make_room(const waiting_step& waiting, std::uint32_t unit_row, const placement_need& need,
                    std::span<const std::uint32_t> present, boot_time now);
     void keep_reservation(const unit& part, const resources& each);
@@ -127,6 +140,11 @@
     std::vector<slot> slots;                                        // Of the round; views into the book.
     std::map<std::string_view, std::size_t> slot_rows;              // By executor.
     std::map<std::string, std::int64_t, std::less<>> urgent_demand; // Accelerators of unended urgent jobs by account.
+    std::vector<placement_need> failed_needs;                       // Of the round; what did not fit.
+    std::vector<running_unit> running_units;                        // Of the round; a row for each of `stoppable`.
+    std::vector<stoppable_unit> stoppable;
+    std::optional<preemption_planner> planner; // None until the round needs it.
+    std::optional<boot_time> moved_at;
     std::vector<dispatch_event> events;
     std::size_t reservations = 0;                           // Of the round.
     std::map<std::string, waiting_load, std::less<>> loads; // Of the round, by queue.
--- a/libraries/dispatch/job_run.h
+++ b/libraries/dispatch/job_run.h
@@ -54,6 +54,7 @@
     std::set<std::string, std::less<>> failed_on; // Executors on which it failed.
     std::vector<std::string> reserved_on;         // Executors kept for it, one a task; empty: none.
     boot_time reserved_at;
+    std::optional<boot_time> room_tried_at; // When others were last looked at for room.
 };
 
 // One occurrence of a step.
--- a/libraries/dispatch/preemption.h
+++ b/libraries/dispatch/preemption.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <span>
 #include <vector>
 
@@ -17,6 +18,7 @@
     resources each;
     std::vector<std::size_t> rows; // The slot of each task.
     double cost = 0;               // Work lost by a stop, in core-seconds.
+    bool is_allowed = true;        // For the need that is planned now.
 };
 
 struct preemption_plan {
@@ -25,8 +27,24 @@
     double cost = 0;
 };
 
-// Nothing when the need would not fit even if all units were stopped.
-std::optional<preemption_plan> plan_preemption(const placement_need& need, std::span<const slot> slots,
-                                               std::span<const stoppable_unit> units, count_on_executor present);
+// Plans for several needs of one round. The slots and units must outlive it; what is free and allowed may change.
+class preemption_planner {
+public:
+    preemption_planner(std::span<const slot> slots, std::span<const stoppable_unit> units);
+
+    // Nothing when the need would not fit even if all allowed units were stopped.
+    [[nodiscard]] std::optional<preemption_plan> plan(const placement_need& need, count_on_executor present) const;
+
+private:
+    [[nodiscard]] std::optional<preemption_plan> plan_in(const placement_need& need, count_on_executor present,
+                                                         std::span<const std::size_t> rows) const;
+    [[nodiscard]] bool find_room(std::size_t row, const resources& each, resources free,
+                                 const std::set<std::size_t>& victims, std::vector<std::size_t>& chosen,
+                                 double& cost) const;
+
+    std::span<const slot> slots;
+    std::span<const stoppable_unit> units;
+    std::vector<std::vector<std::size_t>> units_on; // Rows of units by slot, cheapest first.
+};
 
 } // namespace wigeon
--- a/libraries/dispatch/resources.h
+++ b/libraries/dispatch/resources.h
@@ -28,6 +28,11 @@
         return *this;
     }
 
+    friend resources operator*(resources amount, std::int64_t count)
+    {
+        return {amount.cpu_millicores * count, amount.memory_mb * count, amount.accelerators * count};
+    }
+
     friend resources operator+(resources left, const resources& right) { return left += right; }
     friend resources operator-(resources left, const resources& right) { return left -= right; }
 
--- a/libraries/dispatch/run_ledger.cpp
+++ b/libraries/dispatch/run_ledger.cpp
@@ -410,8 +410,8 @@
         this->resolve(*job, *part, part->members[member_index], now);
 }
 
-void run_ledger::take_running(const executor& source, const running_task& shown, std::uint64_t born_ms,
-                              boot_time sent_at, boot_time now)
+std::optional<member_reference> run_ledger::take_running(const executor& source, const running_task& shown,
+                                                         std::uint64_t born_ms, boot_time sent_at, boot_time now)
 {
     const auto name = parse_task_name(shown.task);
     job_run* job = name ? this->find(name->job) : nullptr;
@@ -425,7 +425,7 @@
         stop_order stray{{}, source.entry.id, shown.task};
         stray.target.run = shown.run;
         this->stray_stops.push_back(std::move(stray));
-        return;
+        return std::nullopt;
     }
     member& task = part->members[member_index];
     task.born_ms = born_ms;
@@ -435,8 +435,11 @@
     task.confirmed_at = std::max(task.confirmed_at, sent_at);
     if (!shown.checkpoint.empty())
         part->checkpoint = shown.checkpoint;
+    const member_reference shown_member{job->id, static_cast<std::uint32_t>(part - job->units.data()), member_index,
+                                        shown.run};
     if (!is_wanted(*job))
         this->want_stop(*job, *part, task, now);
+    return shown_member;
 }
 
 void run_ledger::take_look(executor& source, const look_report& report, boot_time sent_at, boot_time now)
@@ -445,8 +448,12 @@
         if (ended.number > source.last_end_seen)
             this->take_end(source, ended, now);
     }
-    for (const running_task& shown : report.running)
-        this->take_running(source, shown, report.born_ms, sent_at, now);
+    std::vector<member_reference> running;
+    for (const running_task& shown : report.running) {
+        auto known = this->take_running(source, shown, report.born_ms, sent_at, now);
+        if (known)
+            running.push_back(std::move(*known));
+    }
     this->book.take_report(source, report, sent_at, now);
 
     const auto indexed = this->by_executor.find(source.entry.id);
@@ -459,12 +466,7 @@
         member* task = this->find_member(target, job, part);
         if (task == nullptr || task->phase == member_phase::planned || task->phase == member_phase::resolved)
             continue;
-        const bool is_shown = std::any_of(report.running.begin(), report.running.end(), [&](const running_task& shown) {
-            return shown.run == target.run &&
-                   shown.task ==
-                       make_task_name(target.job, {job->steps[part->step_run].occurrence,
-                                                   job->steps[part->step_run].step, part->first_task + target.member});
-        });
+        const bool is_shown = std::find(running.begin(), running.end(), target) != running.end();
         if (is_shown || task->phase == member_phase::ordered)
             continue;
         // Neither running nor ended. A stop shuts out orders that are still on their way.
--- a/libraries/dispatch/run_ledger.h
+++ b/libraries/dispatch/run_ledger.h
@@ -25,6 +25,8 @@
     std::uint32_t unit = 0;
     std::uint32_t member = 0;
     std::uint32_t run = 0;
+
+    friend bool operator==(const member_reference&, const member_reference&) = default;
 };
 
 struct start_order {
@@ -108,8 +110,8 @@
     unit* find_unit(job_run& job, const task_place& place, std::uint32_t& member_index);
     member* find_member(const member_reference& target, job_run*& job, unit*& part);
     void take_end(executor& source, const ended_task& ended, boot_time now);
-    void take_running(const executor& source, const running_task& shown, std::uint64_t born_ms, boot_time sent_at,
-                      boot_time now);
+    std::optional<member_reference> take_running(const executor& source, const running_task& shown,
+                                                 std::uint64_t born_ms, boot_time sent_at, boot_time now);
     void note_failure(job_run& job, unit& part, executor& source, boot_time now);
     void finish_unit(job_run& job, unit& part, boot_time now);
     void end_job(job_run& job, records::JobPhase phase, boot_time now);
--- a/libraries/node/leader.cpp
+++ b/libraries/node/leader.cpp
@@ -19,6 +19,10 @@
 // Events that come together are decided together.
 constexpr milliseconds round_delay{3};
 
+// A round is followed by a pause of this many times its length, at most the longest pause.
+constexpr int round_rest_factor = 3;
+constexpr milliseconds longest_round_pause{150};
+
 // Rounds also run at this pace, for stops that were not answered and leases that lapsed.
 constexpr milliseconds upkeep_interval{200};
 
@@ -111,7 +115,7 @@
         static_cast<void>(sent_at);
         static_cast<void>(now);
         if (record_count > 0)
-            this->chief.schedule_round(round_delay);
+            this->chief.schedule_round(this->chief.round_pause);
     }
 
 private:
@@ -232,7 +236,7 @@
     process_metrics().set_gauge("wigeon_leading", 1);
     for (const auto& [id, link] : this->contacts)
         this->schedule_look(id, milliseconds(0));
-    this->schedule_round(round_delay);
+    this->schedule_round(this->round_pause);
 }
 
 void leader::finish(leadership_end end)
@@ -276,14 +280,14 @@
     this->work.add_job(id, *job->submission, job->progress, read_wall_clock_ms(), now);
     if (job->is_cancel_asked)
         this->work.cancel_job(id, now);
-    this->schedule_round(round_delay);
+    this->schedule_round(this->round_pause);
 }
 
 void leader::take_policy(const fleet_policy& policy, boot_time now)
 {
     static_cast<void>(now);
     this->work.set_policy(policy);
-    this->schedule_round(round_delay);
+    this->schedule_round(this->round_pause);
 }
 
 bool leader::are_executors_known(boot_time now) const
@@ -322,7 +326,7 @@
     }
     if (!this->pending) {
         if (this->are_executors_known(now) && !this->is_resigning)
-            this->work.decide(read_wall_clock_ms(), now);
+            this->decide(now);
         this->commit();
     }
     this->send_stops(now);
@@ -336,6 +340,18 @@
     }
 }
 
+// Rounds that take long are held less often, so that calls and looks are not kept waiting.
+void leader::decide(boot_time now)
+{
+    const steady_time begun = read_steady_clock();
+    this->work.decide(read_wall_clock_ms(), now);
+    const auto took = std::chrono::duration_cast<std::chrono::microseconds>(read_steady_clock() - begun);
+    constexpr double microseconds_per_millisecond = 1000.0;
+    process_metrics().observe_ms("wigeon_round_ms", static_cast<double>(took.count()) / microseconds_per_millisecond);
+    const auto pause = std::chrono::duration_cast<milliseconds>(took * round_rest_factor);
+    this->round_pause = std::clamp(pause, round_delay, longest_round_pause);
+}
+
 std::string leader::make_beat(bool is_resigned) const
 {
     records::LeaderBeat beat;
@@ -435,7 +451,7 @@
     // The executors may now forget these ends.
     for (const dispatch_changes::noted_ends& noted : changes.ends)
         this->schedule_look(noted.executor, milliseconds(0));
-    this->schedule_round(round_delay);
+    this->schedule_round(this->round_pause);
 }
 
 void leader::send_start(const start_order& order)
@@ -487,7 +503,7 @@
             }
             self->work.take_start_answer(order, answer, answered);
             if (answer != start_answer::accepted)
-                self->schedule_round(round_delay);
+                self->schedule_round(self->round_pause);
         });
 }
 
@@ -603,7 +619,7 @@
     // itself.
     this->schedule_look(id, is_noting ? noted_look_pause : milliseconds(0));
     if (!was_reached || is_noting || host->last_end_seen > ends_before)
-        this->schedule_round(round_delay);
+        this->schedule_round(this->round_pause);
 }
 
 void leader::take_fence(const std::string& id)
--- a/libraries/node/leader.h
+++ b/libraries/node/leader.h
@@ -72,6 +72,7 @@
     void finish(leadership_end end);
 
     void run_round();
+    void decide(boot_time now);
     void schedule_round(milliseconds delay);
     void commit();
     void send_append();
@@ -105,6 +106,7 @@
     boost::asio::steady_timer append_timer;
     boost::asio::steady_timer upkeep_timer;
     bool is_round_scheduled = false;
+    milliseconds round_pause{3}; // Before the next round, by what the last one took.
     bool is_resigning = false;
     bool has_told_resignation = false; // The append on its way says so.
     // The append on its way; its records are sent again until the store says what became of them.
--- a/tests/dispatch/placement_test.cpp
+++ b/tests/dispatch/placement_test.cpp
@@ -135,7 +135,7 @@
     std::array<stoppable_unit, 2> units;
     units[0] = {{1'000, 1'000, 8}, {0}, 500};
     units[1] = {{1'000, 1'000, 8}, {1}, 20};
-    const auto plan = plan_preemption(make_need(1, 4), slots, units, {});
+    const auto plan = preemption_planner(slots, units).plan(make_need(1, 4), {});
     BOOST_REQUIRE(plan.has_value());
     BOOST_TEST(plan->victims == std::vector<std::size_t>{1}, boost::test_tools::per_element());
     BOOST_TEST(plan->places == std::vector<std::size_t>{1}, boost::test_tools::per_element());
@@ -146,7 +146,7 @@
     const std::array slots{make_slot("one", "r1", 0), make_slot("two", "r1", 0)};
     std::array<stoppable_unit, 1> units;
     units[0] = {{1'000, 1'000, 8}, {0}, 1};
-    BOOST_TEST(!plan_preemption(make_need(2, 8), slots, units, {}).has_value());
+    BOOST_TEST(!preemption_planner(slots, units).plan(make_need(2, 8), {}).has_value());
 }
 
 BOOST_AUTO_TEST_CASE(counts_the_room_of_a_stopped_gang_on_all_its_executors)
@@ -154,7 +154,7 @@
     const std::array slots{make_slot("one", "r1", 0), make_slot("two", "r1", 0)};
     std::array<stoppable_unit, 1> units;
     units[0] = {{1'000, 1'000, 8}, {0, 1}, 30};
-    const auto plan = plan_preemption(make_need(2, 8), slots, units, {});
+    const auto plan = preemption_planner(slots, units).plan(make_need(2, 8), {});
     BOOST_REQUIRE(plan.has_value());
     BOOST_TEST(plan->victims.size() == 1U);
     BOOST_TEST(plan->cost == 30);
