--- a/libraries/dispatch/dispatcher.h
+++ b/libraries/dispatch/dispatcher.h
@@ -78,6 +78,9 @@
 
     [[nodiscard]] executor_book& executors() { return this->book; }
     [[nodiscard]] const executor_book& executors() const { return this->book; }
+    // Whether the stopped run still waits for a look that does not show it.
+    [[nodiscard]] bool awaits_denial(const stop_order& order) { return this->ledger.awaits_denial(order.target); }
+    [[nodiscard]] milliseconds stop_time() const { return this->bounds.stop_time; }
     [[nodiscard]] run_ledger& runs() { return this->ledger; }
 
     // Time until a job of the queue that is handed in now would begin, at the present rate.
--- a/libraries/dispatch/run_ledger.cpp
+++ b/libraries/dispatch/run_ledger.cpp
@@ -281,6 +281,14 @@
         task->stopped_at = now;
 }
 
+bool run_ledger::awaits_denial(const member_reference& target)
+{
+    job_run* job = nullptr;
+    unit* part = nullptr;
+    const member* task = this->find_member(target, job, part);
+    return task != nullptr && task->phase != member_phase::resolved && task->stopped_at.has_value();
+}
+
 // Frees the member's room. The unit settles when it was the last one; the other members of a gang have to end too.
 void run_ledger::resolve(job_run& job, unit& part, member& task, boot_time now)
 {
--- a/libraries/dispatch/run_ledger.h
+++ b/libraries/dispatch/run_ledger.h
@@ -73,6 +73,8 @@
 
     void take_start_answer(const member_reference& target, start_answer answer, boot_time now);
     void take_stop_answer(const member_reference& target, bool is_acknowledged, boot_time now);
+    // The member was stopped, and neither an end nor a look has said yet that it is gone.
+    bool awaits_denial(const member_reference& target);
     void take_look(executor& source, const look_report& report, boot_time sent_at, boot_time now);
 
     // The members on a life of an executor that certainly ended.
--- a/libraries/node/caller_service.cpp
+++ b/libraries/node/caller_service.cpp
@@ -19,7 +19,7 @@
 constexpr milliseconds refused_write_limit{600};
 
 // Callers wait 3 s for an answer. One whose write may be stored is told so in time to ask again.
-constexpr milliseconds uncertain_write_limit{1'500};
+constexpr milliseconds uncertain_write_limit{1'200};
 
 constexpr milliseconds write_retry_pause{80};
 
@@ -79,6 +79,11 @@
         done(write_outcome::refused);
         return;
     }
+    if (!this->gate.may_write(now)) {
+        count_refusal("store_out_of_reach");
+        done(write_outcome::refused);
+        return;
+    }
     this->waiting.push_back({std::move(record), now, false, std::move(done)});
     if (this->on_way.empty())
         this->send();
@@ -102,6 +107,10 @@
 void caller_service::take_append(const append_result& result)
 {
     const boot_time now = boot_clock::now();
+    if (result.status == append_status::done)
+        this->gate.note_success();
+    else
+        this->gate.note_failure(now);
     std::vector<pending_write> ended = std::move(this->on_way);
     this->on_way.clear();
     std::vector<pending_write> again;
--- a/libraries/node/caller_service.h
+++ b/libraries/node/caller_service.h
@@ -15,6 +15,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "node/node_state.h"
+#include "node/write_gate.h"
 #include "store/record_store.h"
 
 namespace wigeon {
@@ -56,6 +57,9 @@
 
     [[nodiscard]] std::size_t count_waiting(std::string_view queue) const;
 
+    // When a caller whose write was refused may come again.
+    [[nodiscard]] std::uint32_t find_retry_after_s(boot_time now) const { return this->gate.find_retry_after_s(now); }
+
 private:
     // A record that a caller waits for.
     struct pending_write {
@@ -75,6 +79,7 @@
     record_store& store;
     node_state& state;
     caller_bounds bounds;
+    write_gate gate;
     std::vector<pending_write> waiting; // At most write_limit.
     std::vector<pending_write> on_way;  // In the append that has no answer yet.
 };
--- a/libraries/node/leader.cpp
+++ b/libraries/node/leader.cpp
@@ -40,6 +40,9 @@
 // An append that was refused or lost is sent again after this time.
 constexpr milliseconds append_pause{60};
 
+// Beside the longest time of a stop; as much as the ledger asks for, and a little for timers.
+constexpr milliseconds denial_margin{60};
+
 // The first round waits until most executors have been looked at, but no longer than this.
 constexpr milliseconds first_round_limit{400};
 constexpr std::size_t known_share_percent = 90;
@@ -528,10 +531,37 @@
                                  const bool is_known = result.answer == executor_answer::accepted ||
                                                        result.answer == executor_answer::refused;
                                  self->work.take_stop_answer(order, is_known, boot_clock::now());
+                                 if (is_known)
+                                     self->schedule_denial(order);
                              });
     }
 }
 
+// A look that waits for an end would tell a second later that the stopped run is not there.
+void leader::schedule_denial(const stop_order& order)
+{
+    const auto timer = std::make_shared<boost::asio::steady_timer>(this->loop);
+    timer->expires_after(this->work.stop_time() + denial_margin);
+    timer->async_wait([self = this->shared_from_this(), timer, order](const boost::system::error_code& reason) {
+        if (reason || self->stage != phase::leading || !self->work.awaits_denial(order))
+            return;
+        executor* host = self->work.executors().find(order.executor);
+        if (host == nullptr || !host->is_reached)
+            return;
+        look_request request;
+        request.fencing_token = self->fencing_token;
+        request.last_end_noted = host->last_end_noted;
+        const boot_time now = boot_clock::now();
+        self->executors.look({order.executor, host->entry.address}, request,
+                             [self, id = order.executor, now](const look_result& result) {
+                                 if (self->stage != phase::leading || result.answer != executor_answer::accepted)
+                                     return;
+                                 self->work.take_look(id, result.report, now, boot_clock::now());
+                                 self->schedule_round(self->round_pause);
+                             });
+    });
+}
+
 void leader::schedule_look(const std::string& id, milliseconds pause)
 {
     const auto found = this->contacts.find(id);
--- a/libraries/node/leader.h
+++ b/libraries/node/leader.h
@@ -81,6 +81,7 @@
     void send_start(const start_order& order);
     void send_stops(boot_time now);
     void look(const std::string& id);
+    void schedule_denial(const stop_order& order);
     void schedule_look(const std::string& id, milliseconds pause);
     void take_look(const std::string& id, boot_time sent_at, const look_result& result);
     void take_fence(const std::string& id);
--- a/tests/node/caller_service_test.cpp
+++ b/tests/node/caller_service_test.cpp
@@ -132,6 +132,42 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(an_outage_of_the_store)
+
+BOOST_AUTO_TEST_CASE(refuses_at_once_but_for_a_write_that_looks_whether_it_is_back)
+{
+    const boot_time start{milliseconds(1'000'000)};
+    write_gate gate;
+    BOOST_TEST(gate.may_write(start));
+    gate.note_failure(start);
+    BOOST_TEST(!gate.may_write(start + milliseconds(100)));
+    BOOST_TEST(gate.may_write(start + milliseconds(300)));
+    BOOST_TEST(!gate.may_write(start + milliseconds(310)));
+    gate.note_success();
+    BOOST_TEST(gate.may_write(start + milliseconds(320)));
+}
+
+BOOST_AUTO_TEST_CASE(asks_callers_to_stay_away_longer_the_longer_it_lasts)
+{
+    const boot_time start{milliseconds(1'000'000)};
+    write_gate gate;
+    gate.note_failure(start);
+    BOOST_TEST(gate.find_retry_after_s(start + milliseconds(100)) == 1U);
+    BOOST_TEST(gate.find_retry_after_s(start + milliseconds(2'500)) == 2U);
+    BOOST_TEST(gate.find_retry_after_s(start + milliseconds(20'000)) == 3U);
+}
+
+BOOST_FIXTURE_TEST_CASE(sends_nothing_for_what_it_refuses, caller_fixture)
+{
+    this->store.append_fault = store_fault::refusing;
+    this->submit("first");
+    const std::size_t calls = this->store.append_calls;
+    BOOST_TEST((this->submit("second") == write_outcome::refused));
+    BOOST_TEST(this->store.append_calls == calls);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(a_question)
 
 BOOST_FIXTURE_TEST_CASE(about_a_job_that_another_node_took_a_moment_ago_is_answered, caller_fixture)
