--- a/libraries/node/executor_service.h
+++ b/libraries/node/executor_service.h
@@ -21,6 +21,13 @@
     unknown,     // No answer: carried out, or not, or later.
 };
 
+// Whether the stopped run can certainly not start any more. An executor that refuses a stop has done nothing: an order
+// that it holds back may still be carried out.
+inline bool is_stop_acknowledged(executor_answer answer)
+{
+    return answer == executor_answer::accepted;
+}
+
 struct look_request {
     std::uint64_t fencing_token = 0;
     std::uint64_t last_end_noted = 0;
--- a/libraries/node/leader.cpp
+++ b/libraries/node/leader.cpp
@@ -525,8 +525,7 @@
                                      self->take_fence(order.executor);
                                      return;
                                  }
-                                 const bool is_known = result.answer == executor_answer::accepted ||
-                                                       result.answer == executor_answer::refused;
+                                 const bool is_known = is_stop_acknowledged(result.answer);
                                  self->work.take_stop_answer(order, is_known, boot_clock::now());
                                  if (is_known)
                                      self->schedule_denial(order);
--- a/tests/dispatch/leader_property_test.cpp
+++ b/tests/dispatch/leader_property_test.cpp
@@ -281,6 +281,7 @@
     void stop(const stop_order& order)
     {
         const std::uint64_t sender = this->term;
+        // Not carried out: no way there, or shed by the executor.
         const bool is_lost = this->is_cut[order.executor] || (this->is_troubled && this->draw(15) == 0);
         const milliseconds delay = is_lost ? milliseconds(1'000) : this->draw_delay();
         this->later(delay, [this, order, sender, is_lost] {
--- a/tests/platform/wire_test.cpp
+++ b/tests/platform/wire_test.cpp
@@ -167,6 +167,14 @@
     BOOST_TEST((decode_order({call_outcome::not_sent, 0, ""}).answer == executor_answer::unreachable));
 }
 
+BOOST_AUTO_TEST_CASE(that_shed_a_stop_have_not_carried_it_out)
+{
+    BOOST_TEST(is_stop_acknowledged(decode_order(answer(200, R"({"clock-ms":1})")).answer));
+    for (const int status : {400, 421, 429, 503})
+        BOOST_TEST(!is_stop_acknowledged(decode_order(answer(status, "")).answer));
+    BOOST_TEST(!is_stop_acknowledged(decode_order({call_outcome::unknown, 0, ""}).answer));
+}
+
 BOOST_AUTO_TEST_CASE(with_a_malformed_entry_are_passed_over_with_the_reason)
 {
     const json_documents documents;
