Tests that wait on an event loop end when nothing is left to wait for

Ruled out: the reader (the read beside was sent). Loops are restarted, and a wait that can't end fails.

--- a/tests/node/caller_service_test.cpp
+++ b/tests/node/caller_service_test.cpp
@@ -44,8 +44,16 @@
         const std::vector<keyed_record> records{{"policy", std::string("{}")}};
         this->store.model.append("keyed.policy", records, {});
         this->state.start();
-        while (!this->state.is_complete())
-            this->loop.run_one();
+        this->run_until([&] { return this->state.is_complete(); });
+    }
+
+    // Fails instead of waiting for ever when nothing is left that could bring the end.
+    void run_until(const std::function<bool()>& is_done)
+    {
+        this->loop.restart();
+        while (!is_done() && this->loop.run_one() > 0)
+            continue;
+        BOOST_REQUIRE(is_done());
     }
 
     write_outcome submit(const std::string& job)
@@ -55,8 +63,7 @@
         submission.set_queue("q");
         submission.add_steps()->set_count(1);
         this->service->submit(job, submission, boot_clock::now(), [&](write_outcome told) { outcome = told; });
-        while (!outcome)
-            this->loop.run_one();
+        this->run_until([&] { return outcome.has_value(); });
         return *outcome;
     }
 
@@ -64,8 +71,7 @@
     {
         std::optional<job_view> seen;
         this->service->read(job, boot_clock::now(), [&](job_view told) { seen = told; });
-        while (!seen)
-            this->loop.run_one();
+        this->run_until([&] { return seen.has_value(); });
         return *seen;
     }
 
@@ -116,8 +122,7 @@
     this->store.append_fault = store_fault::answer_lost;
     this->service->submit("job", submission, boot_clock::now(), [&](write_outcome told) { outcome = told; });
     this->store.append_fault = store_fault::refusing;
-    while (!outcome)
-        this->loop.run_one();
+    this->run_until([&] { return outcome.has_value(); });
     BOOST_TEST((*outcome == write_outcome::uncertain));
 }
 
--- a/tests/store/topic_reader_test.cpp
+++ b/tests/store/topic_reader_test.cpp
@@ -61,8 +61,11 @@
             is_answered = true;
             is_current = current;
         });
-        while (!is_answered)
-            this->loop.run_one();
+        // The loop stops when it has nothing to do, and would not run what comes then.
+        this->loop.restart();
+        while (!is_answered && this->loop.run_one() > 0)
+            continue;
+        BOOST_REQUIRE(is_answered);
         return is_current;
     }
 };
