--- a/tests/dispatch/dispatcher_test.cpp
+++ b/tests/dispatch/dispatcher_test.cpp
@@ -72,7 +72,7 @@
         step.set_same_rack(gang);
         step.set_checkpointing(checkpointing);
         step.set_estimate_ms(8'000);
-        const std::string id = "job" + std::to_string(++this->jobs);
+        std::string id = "job" + std::to_string(++this->jobs);
         this->work.add_job(id, submission, {}, 0, this->now);
         return id;
     }
--- a/tests/integration/node_soak_test.cpp
+++ b/tests/integration/node_soak_test.cpp
@@ -3,6 +3,7 @@
 //
 // WIGEON_SOAK_SEEDS names the seeds ("1,2,3"), WIGEON_SOAK_SECONDS how long the trouble lasts.
 
+#include <array>
 #include <csignal>
 #include <cstdlib>
 #include <random>
@@ -108,7 +109,7 @@
             this->system.signal_node(node, SIGHUP);
             break;
         case 4: {
-            constexpr const char* faults[] = {"refuse", "mute", "lost"};
+            constexpr std::array<const char*, 3> faults{"refuse", "mute", "lost"};
             const char* fault = faults[this->draw(3)];
             BOOST_TEST_MESSAGE("store: " << fault);
             this->system.set_store_fault(fault);
--- a/tests/stand_ins/node_platform.cpp
+++ b/tests/stand_ins/node_platform.cpp
@@ -77,7 +77,9 @@
         : loop(event_loop),
           fleet(fleet_bounds{}),
           store_listener(event_loop, limits,
-                         [this](incoming_request request, reply_handler reply) { this->serve_store(request, reply); }),
+                         [this](const incoming_request& request, const reply_handler& reply) {
+                             this->serve_store(request, reply);
+                         }),
           beat_timer(event_loop)
     {
         this->store_listener.start("127.0.0.1:" + std::to_string(store_port));
@@ -91,7 +93,7 @@
             entry.address = "127.0.0.1:" + std::to_string(first_port + row);
             this->fleet.add_executor(entry, boot_clock::now());
             this->executors.push_back(std::make_unique<http_listener>(
-                event_loop, limits, [this, id = entry.id](incoming_request request, reply_handler reply) {
+                event_loop, limits, [this, id = entry.id](const incoming_request& request, const reply_handler& reply) {
                     this->serve_executor(id, request, reply);
                 }));
             this->executors.back()->start(entry.address);
