--- a/libraries/dispatch/dispatcher.cpp
+++ b/libraries/dispatch/dispatcher.cpp
@@ -259,33 +259,22 @@
 std::vector<dispatcher::waiting_step> dispatcher::list_waiting(boot_time now)
 {
     std::vector<waiting_step> waiting;
-    this->loads.clear();
     for (auto& [id, job] : this->ledger.jobs()) {
         if (is_final(job.phase))
             continue;
         std::optional<order_key> key;
         bool is_job_in_time = false;
         milliseconds slack{0};
-        waiting_load& load = this->loads[job.submission.queue()];
         for (std::uint32_t row = 0; row < job.steps.size(); ++row) {
             const step_run& step = job.steps[row];
-            const records::Step& kind = job.submission.steps(static_cast<int>(step.step));
-            if (step.waiting.empty()) {
-                load.running_accelerators +=
-                    static_cast<std::int64_t>(step.units_left) * kind.accelerators() * (kind.gang() ? kind.count() : 1);
+            if (step.waiting.empty())
                 continue;
-            }
             if (!key) {
                 const job_prospect prospect = this->find_prospect(job, now);
                 key = find_order(prospect, now);
                 is_job_in_time = is_in_time(prospect, now);
                 slack = prospect.objective - now - prospect.chain;
             }
-            std::int64_t tasks = 0;
-            for (const std::uint32_t unit_row : step.waiting)
-                tasks += job.units[unit_row].task_count;
-            load.waiting_accelerators += tasks * kind.accelerators();
-            load.oldest_wait = std::max(load.oldest_wait, now - job.arrived);
             waiting.push_back({&job, row, this->find_rank(job), *key, is_job_in_time, slack});
         }
     }
@@ -633,11 +622,4 @@
     return wanted;
 }
 
-milliseconds dispatcher::estimate_wait(const queue_policy& queue, boot_time now) const
-{
-    static_cast<void>(now);
-    const auto load = this->loads.find(queue.name);
-    return load == this->loads.end() ? milliseconds(0) : load->second.oldest_wait;
-}
-
 } // namespace wigeon
--- a/libraries/dispatch/dispatcher.h
+++ b/libraries/dispatch/dispatcher.h
@@ -83,9 +83,6 @@
     [[nodiscard]] milliseconds stop_time() const { return this->bounds.stop_time; }
     [[nodiscard]] run_ledger& runs() { return this->ledger; }
 
-    // Time until a job of the queue that is handed in now would begin, at the present rate.
-    [[nodiscard]] milliseconds estimate_wait(const queue_policy& queue, boot_time now) const;
-
     // Decisions since the last call.
     std::vector<dispatch_event> take_events();
 
@@ -107,13 +104,6 @@
         bool is_stopping = false;
     };
 
-    // What waits in a queue and what its jobs use.
-    struct waiting_load {
-        std::int64_t waiting_accelerators = 0;
-        std::int64_t running_accelerators = 0;
-        milliseconds oldest_wait{0};
-    };
-
     void build_slots(boot_time now);
     std::vector<waiting_step> list_waiting(boot_time now);
     [[nodiscard]] work_rank find_rank(const job_run& job) const;
@@ -153,8 +143,7 @@
     std::optional<preemption_planner> planner; // None until the round needs it.
     std::optional<boot_time> moved_at;
     std::vector<dispatch_event> events;
-    std::size_t reservations = 0;                           // Of the round.
-    std::map<std::string, waiting_load, std::less<>> loads; // Of the round, by queue.
+    std::size_t reservations = 0; // Of the round.
 };
 
 } // namespace wigeon
--- a/tests/integration/node_test.cpp
+++ b/tests/integration/node_test.cpp
@@ -65,7 +65,7 @@
     check_fleet(system);
 }
 
-BOOST_AUTO_TEST_CASE(a_cancelled_job_ends_and_an_unknown_one_is_told_so)
+BOOST_AUTO_TEST_CASE(a_cancelled_job_ends_and_what_can_not_be_served_is_told_so)
 {
     node_cluster system(2, 2);
     BOOST_TEST(system.submit(0, make_id(1), "batch", long_task) == 200);
@@ -75,6 +75,7 @@
     BOOST_TEST(system.cancel(0, make_id(2), "batch") == 410);
     BOOST_TEST(system.submit(0, make_id(3), "nowhere", long_task) == 404);
     BOOST_TEST(system.submit(0, make_id(3), "batch", R"({"count":0})") == 400);
+    BOOST_TEST(system.submit(0, make_id(4), "advised", long_task) == 503); // Could never run.
 }
 
 BOOST_AUTO_TEST_CASE(a_killed_leader_is_followed_and_its_running_work_goes_on)
--- a/tests/stand_ins/node_platform.cpp
+++ b/tests/stand_ins/node_platform.cpp
@@ -113,7 +113,9 @@
     {
         this->put("keyed.op", "config", R"({"version":1,"routes":[
           {"name":"urgent","host":"h.example","path-prefix":"/urgent/","service":"pool","priority":0,"max-attempts":3,"stretch":1.5},
-          {"name":"batch","host":"h.example","path-prefix":"/batch/","service":"pool","priority":2,"max-attempts":3,"stretch":3}],
+          {"name":"batch","host":"h.example","path-prefix":"/batch/","service":"pool","priority":2,"max-attempts":3,"stretch":3},
+          {"name":"advised","host":"h.example","path-prefix":"/advised/","service":"pool","priority":2,"max-attempts":3,"stretch":3,
+           "advice":{"decide-ms":5,"each-ms":1,"valid-ms":3000}}],
           "tenants":[{"name":"account","api-keys":["key"],"guaranteed":{"gpu":8}}]})");
     }
 
