Give the placed tasks of a unit and the verdicts of executors names of their own

Cause: the address sanitizer found wigeon::member and wigeon::executor_answer defined twice, in libraries that only the unit tests link together: the linker merged their inline functions. The node links one of each. One name, one type now.

--- a/libraries/dispatch/dispatcher.cpp
+++ b/libraries/dispatch/dispatcher.cpp
@@ -292,7 +292,7 @@
     for (const unit& other : job.units) {
         if (other.step_run != part.step_run)
             continue;
-        for (const member& task : other.members) {
+        for (const placed_task& task : other.members) {
             const auto row = this->slot_rows.find(task.executor);
             if (task.phase != member_phase::resolved && row != this->slot_rows.end())
                 ++present[row->second];
@@ -444,7 +444,7 @@
             running_unit owner{&job, &part, rank, step.checkpointing(), false};
             stoppable_unit candidate;
             candidate.each = find_need(step);
-            for (const member& task : part.members) {
+            for (const placed_task& task : part.members) {
                 const auto row = this->slot_rows.find(task.executor);
                 owner.is_stopping = owner.is_stopping || task.is_stop_wanted;
                 if (row != this->slot_rows.end() && task.phase != member_phase::resolved)
@@ -538,13 +538,13 @@
 void dispatcher::move_if_stuck(job_run& job, unit& part, boot_time now)
 {
     std::uint32_t lowest = std::numeric_limits<std::uint32_t>::max();
-    for (const member& task : part.members) {
+    for (const placed_task& task : part.members) {
         // Without all its members a gang does not move.
         if (task.phase != member_phase::running || task.is_stop_wanted)
             return;
         lowest = std::min(lowest, task.progress.percent);
     }
-    for (const member& task : part.members) {
+    for (const placed_task& task : part.members) {
         executor* host = this->book.find(task.executor);
         if (host == nullptr || !host->last_look_sent || task.progress.percent > lowest)
             continue;
--- a/libraries/dispatch/job_run.h
+++ b/libraries/dispatch/job_run.h
@@ -26,7 +26,7 @@
 };
 
 // One task of a unit's present run.
-struct member {
+struct placed_task {
     std::string executor;
     std::uint64_t born_ms = 0; // The life of the executor that was chosen.
     member_phase phase = member_phase::planned;
@@ -48,7 +48,7 @@
     bool is_done = false;
     std::uint32_t counted_run = 0; // The last run whose failure is in `failures`.
     std::string checkpoint;
-    std::vector<member> members; // One a task; empty unless placed and not settled.
+    std::vector<placed_task> members; // One a task; empty unless placed and not settled.
     boot_time waiting_since;
     boot_time placed_at;
     std::set<std::string, std::less<>> failed_on; // Executors on which it failed.
--- a/libraries/dispatch/run_ledger.cpp
+++ b/libraries/dispatch/run_ledger.cpp
@@ -144,7 +144,7 @@
     const auto unit_row = static_cast<std::uint32_t>(part - job.units.data());
     const resources need = find_need(job.step_of(*part));
     for (const std::uint32_t row : saved.placed_on()) {
-        member task;
+        placed_task task;
         if (static_cast<int>(row) < progress.executors_size()) {
             task.executor = progress.executors(static_cast<int>(row)).id();
             task.born_ms = progress.executors(static_cast<int>(row)).born_ms();
@@ -178,7 +178,7 @@
     return nullptr;
 }
 
-member* run_ledger::find_member(const member_reference& target, job_run*& job, unit*& part)
+placed_task* run_ledger::find_member(const member_reference& target, job_run*& job, unit*& part)
 {
     job = this->find(target.job);
     if (job == nullptr || target.unit >= job->units.size())
@@ -200,7 +200,7 @@
     for (const std::string& id : executors) {
         executor* host = this->book.find(id);
         host->used += need;
-        member task;
+        placed_task task;
         task.executor = id;
         task.born_ms = host->entry.born_ms;
         this->index_member({job.id, unit_row, static_cast<std::uint32_t>(part.members.size()), part.run}, id);
@@ -222,7 +222,7 @@
     }
 }
 
-void run_ledger::want_stop(job_run& job, unit& part, member& task, boot_time now)
+void run_ledger::want_stop(job_run& job, unit& part, placed_task& task, boot_time now)
 {
     if (task.phase == member_phase::resolved)
         return;
@@ -235,7 +235,7 @@
 {
     job_run* job = nullptr;
     unit* part = nullptr;
-    member* task = this->find_member(target, job, part);
+    placed_task* task = this->find_member(target, job, part);
     if (task == nullptr || task->phase != member_phase::planned)
         return false;
     task->phase = member_phase::ordered;
@@ -247,7 +247,7 @@
 {
     job_run* job = nullptr;
     unit* part = nullptr;
-    member* task = this->find_member(target, job, part);
+    placed_task* task = this->find_member(target, job, part);
     if (task == nullptr || task->phase == member_phase::resolved)
         return;
     switch (answer) {
@@ -273,7 +273,7 @@
 {
     job_run* job = nullptr;
     unit* part = nullptr;
-    member* task = this->find_member(target, job, part);
+    placed_task* task = this->find_member(target, job, part);
     if (task == nullptr)
         return;
     task->is_stop_on_way = false;
@@ -285,12 +285,12 @@
 {
     job_run* job = nullptr;
     unit* part = nullptr;
-    const member* task = this->find_member(target, job, part);
+    const placed_task* task = this->find_member(target, job, part);
     return task != nullptr && task->phase != member_phase::resolved && task->stopped_at.has_value();
 }
 
 // Frees the member's room. The unit settles when it was the last one; the other members of a gang have to end too.
-void run_ledger::resolve(job_run& job, unit& part, member& task, boot_time now)
+void run_ledger::resolve(job_run& job, unit& part, placed_task& task, boot_time now)
 {
     if (task.phase == member_phase::resolved)
         return;
@@ -307,7 +307,7 @@
         });
     }
     const bool is_settled = std::all_of(part.members.begin(), part.members.end(),
-                                        [](const member& other) { return other.phase == member_phase::resolved; });
+                                        [](const placed_task& other) { return other.phase == member_phase::resolved; });
     if (is_settled) {
         this->settle(job, part, now);
         return;
@@ -405,7 +405,7 @@
     }
     if (ended.run != part->run || member_index >= part->members.size())
         return;
-    member& task = part->members[member_index];
+    placed_task& task = part->members[member_index];
     if (task.executor != source.entry.id || task.phase == member_phase::resolved)
         return;
     if (!ended.checkpoint.empty() && ended.ending != run_ending::done)
@@ -435,7 +435,7 @@
         this->stray_stops.push_back(std::move(stray));
         return std::nullopt;
     }
-    member& task = part->members[member_index];
+    placed_task& task = part->members[member_index];
     task.born_ms = born_ms;
     task.progress.note(shown.percent, now);
     if (task.phase != member_phase::planned)
@@ -471,7 +471,7 @@
     for (const member_reference& target : expected) {
         job_run* job = nullptr;
         unit* part = nullptr;
-        member* task = this->find_member(target, job, part);
+        placed_task* task = this->find_member(target, job, part);
         if (task == nullptr || task->phase == member_phase::planned || task->phase == member_phase::resolved)
             continue;
         const bool is_shown = std::find(running.begin(), running.end(), target) != running.end();
@@ -494,7 +494,7 @@
     for (const member_reference& target : lost) {
         job_run* job = nullptr;
         unit* part = nullptr;
-        member* task = this->find_member(target, job, part);
+        placed_task* task = this->find_member(target, job, part);
         if (task == nullptr || task->born_ms >= born_before_ms)
             continue;
         // An order on its way may still reach the new life; its answer or a look will tell.
@@ -525,7 +525,7 @@
         for (const member_reference& target : members) {
             job_run* job = nullptr;
             unit* part = nullptr;
-            member* task = this->find_member(target, job, part);
+            placed_task* task = this->find_member(target, job, part);
             if (task != nullptr && task->phase != member_phase::planned && task->phase != member_phase::ordered)
                 this->resolve(*job, *part, *task, now);
         }
@@ -540,7 +540,7 @@
         for (const member_reference& target : members) {
             job_run* job = nullptr;
             unit* part = nullptr;
-            member* task = this->find_member(target, job, part);
+            placed_task* task = this->find_member(target, job, part);
             if (task == nullptr || !task->is_stop_wanted || task->is_stop_on_way || task->stopped_at)
                 continue;
             if (task->phase == member_phase::planned || task->phase == member_phase::resolved)
@@ -562,7 +562,7 @@
     for (std::uint32_t unit_row = 0; unit_row < job.units.size(); ++unit_row) {
         const unit& part = job.units[unit_row];
         for (std::uint32_t row = 0; row < part.members.size(); ++row) {
-            const member& task = part.members[row];
+            const placed_task& task = part.members[row];
             if (task.phase != member_phase::planned)
                 continue;
             const step_run& step = job.steps[part.step_run];
@@ -595,7 +595,7 @@
         if (part.is_done)
             continue;
         saved.set_checkpoint(part.checkpoint);
-        for (const member& task : part.members) {
+        for (const placed_task& task : part.members) {
             const auto [place, is_new] =
                 rows.try_emplace({task.executor, task.born_ms}, static_cast<std::uint32_t>(rows.size()));
             if (is_new) {
--- a/libraries/dispatch/run_ledger.h
+++ b/libraries/dispatch/run_ledger.h
@@ -110,15 +110,15 @@
     void adopt_unit(job_run& job, const records::UnitProgress& saved, const records::JobProgress& progress,
                     boot_time now);
     unit* find_unit(job_run& job, const task_place& place, std::uint32_t& member_index);
-    member* find_member(const member_reference& target, job_run*& job, unit*& part);
+    placed_task* find_member(const member_reference& target, job_run*& job, unit*& part);
     void take_end(executor& source, const ended_task& ended, boot_time now);
     std::optional<member_reference> take_running(const executor& source, const running_task& shown,
                                                  std::uint64_t born_ms, boot_time sent_at, boot_time now);
     void note_failure(job_run& job, unit& part, executor& source, boot_time now);
     void finish_unit(job_run& job, unit& part, boot_time now);
     void end_job(job_run& job, records::JobPhase phase, boot_time now);
-    void resolve(job_run& job, unit& part, member& task, boot_time now);
-    void want_stop(job_run& job, unit& part, member& task, boot_time now);
+    void resolve(job_run& job, unit& part, placed_task& task, boot_time now);
+    void want_stop(job_run& job, unit& part, placed_task& task, boot_time now);
     void settle(job_run& job, unit& part, boot_time now);
     void index_member(const member_reference& target, const std::string& executor_id);
 
--- a/libraries/node/executor_service.h
+++ b/libraries/node/executor_service.h
@@ -12,7 +12,7 @@
 
 namespace wigeon {
 
-enum class executor_answer : std::uint8_t {
+enum class executor_verdict : std::uint8_t {
     accepted,
     fenced, // The executor has seen a higher fencing token.
     no_room,
@@ -23,9 +23,9 @@
 
 // Whether the stopped run can certainly not start any more. An executor that refuses a stop has done nothing: an order
 // that it holds back may still be carried out.
-inline bool is_stop_acknowledged(executor_answer answer)
+inline bool is_stop_acknowledged(executor_verdict answer)
 {
-    return answer == executor_answer::accepted;
+    return answer == executor_verdict::accepted;
 }
 
 struct look_request {
@@ -36,7 +36,7 @@
 };
 
 struct look_result {
-    executor_answer answer = executor_answer::unknown;
+    executor_verdict answer = executor_verdict::unknown;
     look_report report; // When accepted.
 };
 
@@ -47,7 +47,7 @@
 };
 
 struct order_result {
-    executor_answer answer = executor_answer::unknown;
+    executor_verdict answer = executor_verdict::unknown;
     std::string reason; // As the executor said it; empty: none.
 };
 
--- a/libraries/node/leader.cpp
+++ b/libraries/node/leader.cpp
@@ -473,23 +473,23 @@
             process_metrics().observe_ms("wigeon_start_ms", static_cast<double>((answered - sent_at).count()));
             start_answer answer = start_answer::refused;
             switch (result.answer) {
-            case executor_answer::accepted:
+            case executor_verdict::accepted:
                 answer = start_answer::accepted;
                 break;
-            case executor_answer::fenced:
+            case executor_verdict::fenced:
                 self->take_fence(order.executor);
                 return;
-            case executor_answer::no_room:
+            case executor_verdict::no_room:
                 answer = start_answer::refused_for_room;
                 break;
-            case executor_answer::refused:
+            case executor_verdict::refused:
                 break;
-            case executor_answer::unreachable:
+            case executor_verdict::unreachable:
                 // Not to be chosen again before it answers a look.
                 if (executor* silent = self->work.executors().find(order.executor))
                     silent->last_look_sent.reset();
                 break;
-            case executor_answer::unknown:
+            case executor_verdict::unknown:
                 answer = start_answer::unknown;
                 break;
             }
@@ -521,7 +521,7 @@
                              [self = this->shared_from_this(), order](const order_result& result) {
                                  if (self->stage != phase::leading)
                                      return;
-                                 if (result.answer == executor_answer::fenced) {
+                                 if (result.answer == executor_verdict::fenced) {
                                      self->take_fence(order.executor);
                                      return;
                                  }
@@ -550,7 +550,7 @@
         const boot_time now = boot_clock::now();
         self->executors.look({order.executor, host->entry.address}, request,
                              [self, id = order.executor, now](const look_result& result) {
-                                 if (self->stage != phase::leading || result.answer != executor_answer::accepted)
+                                 if (self->stage != phase::leading || result.answer != executor_verdict::accepted)
                                      return;
                                  self->work.take_look(id, result.report, now, boot_clock::now());
                                  self->schedule_round(self->round_pause);
@@ -611,12 +611,12 @@
         return;
     contact& link = found->second;
     link.is_looking = false;
-    if (result.answer == executor_answer::fenced) {
+    if (result.answer == executor_verdict::fenced) {
         this->take_fence(id);
         return;
     }
     executor* host = this->work.executors().find(id);
-    if (result.answer != executor_answer::accepted || host == nullptr) {
+    if (result.answer != executor_verdict::accepted || host == nullptr) {
         if (link.failures_in_row == 0)
             log_change("executor_out_of_reach", {{"executor", id}});
         ++link.failures_in_row;
--- a/tests/dispatch/leader_property_test.cpp
+++ b/tests/dispatch/leader_property_test.cpp
@@ -216,7 +216,7 @@
         this->later(this->draw_delay(), [this, id, request, sent_at, sender, release] {
             const look_result result = this->fleet.look(id, request, this->now);
             this->later(this->draw_delay(), [this, id, result, sent_at, sender] {
-                if (this->term == sender && result.answer == executor_answer::accepted)
+                if (this->term == sender && result.answer == executor_verdict::accepted)
                     this->chief->take_look(id, result.report, sent_at, this->now);
             });
             this->later(look_interval, release);
@@ -273,7 +273,7 @@
             if (!is_answered)
                 return;
             this->later(this->draw_delay(), [answer, result] {
-                answer(result.answer == executor_answer::accepted ? start_answer::accepted : start_answer::refused);
+                answer(result.answer == executor_verdict::accepted ? start_answer::accepted : start_answer::refused);
             });
         });
     }
--- a/tests/models/fleet_model.cpp
+++ b/tests/models/fleet_model.cpp
@@ -70,7 +70,7 @@
         return result;
     host_state& host = found->second;
     if (request.fencing_token < host.token) {
-        result.answer = executor_answer::fenced;
+        result.answer = executor_verdict::fenced;
         return result;
     }
     host.token = request.fencing_token;
@@ -83,7 +83,7 @@
             this->noted_done.insert(member);
     }
     std::erase_if(host.ended, [&](const ended_task& ended) { return ended.number <= request.last_end_noted; });
-    result.answer = executor_answer::accepted;
+    result.answer = executor_verdict::accepted;
     result.report.born_ms = host.entry.born_ms;
     result.report.clock = this->read_clock(host, now);
     for (const auto& [task, run] : host.running)
@@ -107,24 +107,24 @@
     this->advance(now);
     const auto found = this->hosts.find(order.executor);
     if (found == this->hosts.end())
-        return {executor_answer::unreachable, ""};
+        return {executor_verdict::unreachable, ""};
     host_state& host = found->second;
     if (token < host.token)
-        return {executor_answer::fenced, "fence"};
+        return {executor_verdict::fenced, "fence"};
     host.token = token;
     if (deadline <= this->read_clock(host, now))
-        return {executor_answer::refused, "late"};
+        return {executor_verdict::refused, "late"};
     this->extend(host, deadline, now);
     const auto present = host.running.find(order.task);
     if (present != host.running.end() && present->second.run == order.target.run)
-        return {executor_answer::accepted, ""};
+        return {executor_verdict::accepted, ""};
     const auto highest = host.highest_ended.find(order.task);
     if (highest != host.highest_ended.end() && order.target.run <= highest->second)
-        return {executor_answer::refused, "old"};
+        return {executor_verdict::refused, "old"};
     const records::Step* step = this->find_step(order.task);
     if (step == nullptr) {
         this->broken.push_back("unasked start of " + order.task);
-        return {executor_answer::refused, "unknown"};
+        return {executor_verdict::refused, "unknown"};
     }
     ++this->start_count;
     this->jobs_started.insert(order.task.substr(0, order.task.find('.')));
@@ -142,7 +142,7 @@
     if (!host.used.fits_in(host.entry.room))
         this->broken.push_back("no room for " + order.task + " on " + order.executor);
     host.running[order.task] = run;
-    return {executor_answer::accepted, ""};
+    return {executor_verdict::accepted, ""};
 }
 
 order_result fleet_model::stop(const stop_order& order, std::uint64_t token, boot_time now)
@@ -150,17 +150,17 @@
     this->advance(now);
     const auto found = this->hosts.find(order.executor);
     if (found == this->hosts.end())
-        return {executor_answer::unreachable, ""};
+        return {executor_verdict::unreachable, ""};
     host_state& host = found->second;
     if (token < host.token)
-        return {executor_answer::fenced, "fence"};
+        return {executor_verdict::fenced, "fence"};
     host.token = token;
     const auto run = host.running.find(order.task);
     if (run != host.running.end() && run->second.run == order.target.run)
         this->end_run(host, order.task, run_ending::stopped, now);
     std::uint32_t& highest = host.highest_ended[order.task];
     highest = std::max(highest, order.target.run);
-    return {executor_answer::accepted, ""};
+    return {executor_verdict::accepted, ""};
 }
 
 void fleet_model::end_run(host_state& host, const std::string& task, run_ending ending, boot_time now)
--- a/tests/platform/wire_test.cpp
+++ b/tests/platform/wire_test.cpp
@@ -141,7 +141,7 @@
     const look_result look = decode_look(answer(
         200,
         R"({"clock-ms":482113,"born":17,"running":[["j.0.0.1",2,"c",41,3]],"ended":[[58,"j.0.0.9",1,"broken",""]]})"));
-    BOOST_REQUIRE((look.answer == executor_answer::accepted));
+    BOOST_REQUIRE((look.answer == executor_verdict::accepted));
     BOOST_TEST(look.report.born_ms == 17U);
     BOOST_TEST((look.report.clock == milliseconds(482'113)));
     BOOST_TEST(look.report.running[0].percent == 41U);
@@ -150,21 +150,21 @@
 
 BOOST_AUTO_TEST_CASE(that_answer_in_an_unknown_form_have_said_nothing)
 {
-    BOOST_TEST((decode_look(answer(200, R"({"clock-ms":1})")).answer == executor_answer::unknown));
+    BOOST_TEST((decode_look(answer(200, R"({"clock-ms":1})")).answer == executor_verdict::unknown));
     BOOST_TEST((decode_look(answer(200, R"({"clock-ms":1,"running":[],"ended":[[1,"t",1,"vanished",""]]})")).answer ==
-                executor_answer::unknown));
+                executor_verdict::unknown));
 }
 
 BOOST_AUTO_TEST_CASE(refuse_for_good_or_leave_it_open)
 {
-    BOOST_TEST((decode_order(answer(409, R"({"reason":"fence"})")).answer == executor_answer::fenced));
-    BOOST_TEST((decode_order(answer(409, R"({"reason":"room"})")).answer == executor_answer::no_room));
-    BOOST_TEST((decode_order(answer(409, R"({"reason":"late"})")).answer == executor_answer::refused));
-    BOOST_TEST((decode_order(answer(503, "")).answer == executor_answer::refused));
-    BOOST_TEST((decode_order(answer(421, "")).answer == executor_answer::refused));
-    BOOST_TEST((decode_order(answer(500, "")).answer == executor_answer::unknown));
-    BOOST_TEST((decode_order({call_outcome::unknown, 0, ""}).answer == executor_answer::unknown));
-    BOOST_TEST((decode_order({call_outcome::not_sent, 0, ""}).answer == executor_answer::unreachable));
+    BOOST_TEST((decode_order(answer(409, R"({"reason":"fence"})")).answer == executor_verdict::fenced));
+    BOOST_TEST((decode_order(answer(409, R"({"reason":"room"})")).answer == executor_verdict::no_room));
+    BOOST_TEST((decode_order(answer(409, R"({"reason":"late"})")).answer == executor_verdict::refused));
+    BOOST_TEST((decode_order(answer(503, "")).answer == executor_verdict::refused));
+    BOOST_TEST((decode_order(answer(421, "")).answer == executor_verdict::refused));
+    BOOST_TEST((decode_order(answer(500, "")).answer == executor_verdict::unknown));
+    BOOST_TEST((decode_order({call_outcome::unknown, 0, ""}).answer == executor_verdict::unknown));
+    BOOST_TEST((decode_order({call_outcome::not_sent, 0, ""}).answer == executor_verdict::unreachable));
 }
 
 BOOST_AUTO_TEST_CASE(that_shed_a_stop_have_not_carried_it_out)
--- a/tests/stand_ins/node_platform.cpp
+++ b/tests/stand_ins/node_platform.cpp
@@ -297,7 +297,7 @@
                                        boot_clock::now());
         else
             result = this->fleet.stop({order.target, id, order.task}, token, boot_clock::now());
-        if (result.answer == executor_answer::accepted)
+        if (result.answer == executor_verdict::accepted)
             reply({200, R"({"clock-ms":1})", 0});
         else
             reply({409, R"({"clock-ms":1,"reason":")" + result.reason + "\"}", 0});
@@ -306,7 +306,7 @@
     void look(const std::string& id, const look_request& request, boot_time limit, const reply_handler& reply)
     {
         const look_result result = this->fleet.look(id, request, boot_clock::now());
-        if (result.answer == executor_answer::fenced) {
+        if (result.answer == executor_verdict::fenced) {
             reply({409, R"({"clock-ms":1,"reason":"fence"})", 0});
             return;
         }
