Keep the key of a run that is removed in the executors' model

Cause: the address sanitizer found a use after free in the tests' model: the name of a lapsed task was a reference to the key that its end removes.

--- a/tests/models/fleet_model.cpp
+++ b/tests/models/fleet_model.cpp
@@ -189,8 +189,11 @@
     for (auto& [id, host] : this->hosts) {
         if (this->read_clock(host, now) < host.lease_end)
             continue;
-        while (!host.running.empty())
-            this->end_run(host, host.running.begin()->first, run_ending::lapsed, now);
+        while (!host.running.empty()) {
+            // The key is removed with its run.
+            const std::string task = host.running.begin()->first;
+            this->end_run(host, task, run_ending::lapsed, now);
+        }
     }
     for (auto& [id, host] : this->hosts) {
         std::vector<std::string> tasks;
