--- a/libraries/dispatch/dispatcher.cpp
+++ b/libraries/dispatch/dispatcher.cpp
@@ -11,79 +11,22 @@
 
 namespace {
 
-// A job is of some use until this many times its objective has passed, as the users' contract has it.
-constexpr int last_use_factor = 3;
-
-// Between the hand-in and the first work, and between the last work and the state that callers see: two appends to the
-// store and two calls, 20 ms each.
-constexpr milliseconds path_time{150};
-
-// A reservation made by stopping others holds this long: the stop (at most 900 ms on the users' sites), the look that
-// shows the end, and one round.
-constexpr milliseconds reservation_time{1'500};
-
 // Bounds one append; the store takes 2 MB a call, and no record comes near the other half.
 constexpr std::size_t append_byte_limit = 1'000'000;
 
 // Work that could run somewhere waits at most this long for executors that are better for it; within the users' 3 s.
 constexpr milliseconds overdue_wait{2'000};
 
-// A unit that got no room is not planned for again before this time; urgent work has some hundred milliseconds to
-// spare.
-constexpr milliseconds make_room_pause{40};
-
 // Standing still is judged over seconds.
 constexpr milliseconds move_interval{250};
 
-// Wide units for which executors are kept free in one round; more would idle too much of the fleet.
-constexpr std::size_t reservation_limit = 2;
-
-// A unit of regular or background work gets executors kept free after it has waited this long.
-constexpr milliseconds reservation_wait{2'500};
-
-// What a stop costs beside the work since the last checkpoint: the caller's wait, in core-seconds of an 8-accelerator
-// task.
-constexpr double stop_base_cost = 5.0;
-
-// Urgent work beyond its account's guarantee throws away at most this share of what it does itself.
-constexpr double most_lost_work = 1.0;
-
-// Work that a checkpointing task loses at a stop, in seconds: its restore.
-constexpr double checkpoint_loss_s = 0.2;
-
-std::string_view find_name(work_rank rank)
-{
-    switch (rank) {
-    case work_rank::guaranteed_urgent:
-        return "guaranteed";
-    case work_rank::urgent:
-        return "urgent";
-    case work_rank::regular:
-        return "regular";
-    case work_rank::background:
-        return "background";
-    }
-    return "unknown";
-}
-
-std::int64_t count_accelerators(const records::Submission& submission)
-{
-    std::int64_t sum = 0;
-    for (const records::Step& step : submission.steps())
-        sum += static_cast<std::int64_t>(step.accelerators()) * std::max(1U, step.count());
-    return sum;
-}
-
-double to_seconds(milliseconds time)
-{
-    constexpr double milliseconds_per_second = 1000.0;
-    return static_cast<double>(time.count()) / milliseconds_per_second;
-}
-
 } // namespace
 
 dispatcher::dispatcher(const dispatch_bounds& limits, boot_time leading_since)
-    : bounds(limits), book(limits.longest_lease, leading_since), ledger(book, limits.stop_time)
+    : bounds(limits),
+      book(limits.longest_lease, leading_since),
+      ledger(book, limits.stop_time),
+      room(ledger, slots, work, events)
 {
 }
 
@@ -138,13 +81,16 @@
     executor* source = this->book.find(executor_id);
     if (source == nullptr)
         return;
-    if (report.born_ms < source->entry.born_ms)
+    // An executor that does not say when it was born is taken as the life that the directory lists.
+    if (report.born_ms != 0 && report.born_ms < source->entry.born_ms) {
+        this->events.add("look_of_former_life", {}, std::string(executor_id));
         return;
+    }
     if (report.born_ms > source->entry.born_ms) {
         executor_entry reborn = source->entry;
         reborn.born_ms = report.born_ms;
         this->update_executor(reborn, now);
-        this->add_event("executor_reborn", {}, std::string(executor_id));
+        this->events.add("executor_reborn", {}, std::string(executor_id));
     }
     this->ledger.take_look(*source, report, sent_at, now);
 }
@@ -160,158 +106,6 @@
         this->ledger.take_stop_answer(order.target, is_acknowledged, now);
 }
 
-void dispatcher::add_event(std::string name, std::string job, std::string detail)
-{
-    this->events.push_back({std::move(name), std::move(job), std::move(detail)});
-}
-
-std::vector<dispatch_event> dispatcher::take_events()
-{
-    return std::exchange(this->events, {});
-}
-
-void dispatcher::build_slots(boot_time now)
-{
-    std::size_t distrusted = 0;
-    this->pool_accelerators = 0;
-    this->slots.clear();
-    this->slot_rows.clear();
-    for (const auto& [id, host] : this->book.all()) {
-        const bool is_fresh = host.last_look_sent && now - *host.last_look_sent <= this->bounds.look_age;
-        if (!host.is_listed || host.entry.is_draining || !host.is_reached || !is_fresh)
-            continue;
-        slot place;
-        place.executor = id;
-        place.pool = host.entry.pool;
-        place.rack = host.entry.rack;
-        place.labels = host.entry.labels;
-        place.room = host.entry.room;
-        place.free = host.free_room();
-        place.is_distrusted = host.health.is_distrusted(now);
-        distrusted += place.is_distrusted ? 1 : 0;
-        this->pool_accelerators += place.room.accelerators;
-        this->slot_rows[place.executor] = this->slots.size();
-        this->slots.push_back(place);
-    }
-    if (is_distrust_plausible(distrusted, this->slots.size()))
-        return;
-    for (slot& place : this->slots)
-        place.is_distrusted = false;
-}
-
-milliseconds dispatcher::find_chain(const job_run& job, bool is_whole) const
-{
-    // Steps wait for earlier ones only, so one pass finds the longest chain of what is not done.
-    std::vector<std::int64_t> chain(static_cast<std::size_t>(job.submission.steps_size()), 0);
-    std::int64_t longest = 0;
-    for (int row = 0; row < job.submission.steps_size(); ++row) {
-        const records::Step& step = job.submission.steps(row);
-        std::int64_t before = 0;
-        for (const std::uint32_t earlier : step.after()) {
-            if (earlier < chain.size())
-                before = std::max(before, chain[earlier]);
-        }
-        const bool is_done = !is_whole && std::any_of(job.steps.begin(), job.steps.end(), [row](const step_run& made) {
-            return made.step == static_cast<std::uint32_t>(row) && made.units_left == 0;
-        });
-        chain[static_cast<std::size_t>(row)] = before + (is_done ? 0 : step.estimate_ms());
-        longest = std::max(longest, chain[static_cast<std::size_t>(row)]);
-    }
-    return milliseconds(longest);
-}
-
-job_prospect dispatcher::find_prospect(const job_run& job, boot_time now) const
-{
-    static_cast<void>(now);
-    const auto whole = static_cast<double>(this->find_chain(job, true).count());
-    job_prospect prospect;
-    prospect.rank = this->find_rank(job);
-    prospect.arrived = job.arrived;
-    prospect.chain = this->find_chain(job, false) + path_time;
-    const auto allowed = milliseconds(static_cast<std::int64_t>(job.policy.stretch * whole)) + job.policy.target;
-    prospect.objective = job.arrived + allowed;
-    prospect.last_use = job.arrived + last_use_factor * allowed;
-    return prospect;
-}
-
-void dispatcher::count_urgent_demand()
-{
-    this->urgent_demand.clear();
-    for (const auto& [id, job] : this->ledger.jobs()) {
-        if (job.policy.priority == 0 && !is_final(job.phase))
-            this->urgent_demand[job.submission.account()] += count_accelerators(job.submission);
-    }
-}
-
-work_rank dispatcher::find_rank(const job_run& job) const
-{
-    if (job.policy.priority == 1)
-        return work_rank::regular;
-    if (job.policy.priority > 1)
-        return work_rank::background;
-    const account_policy* account = this->policy.find_account(job.submission.account());
-    const auto demand = this->urgent_demand.find(job.submission.account());
-    const bool is_guaranteed =
-        account != nullptr && demand != this->urgent_demand.end() && demand->second <= account->guaranteed_accelerators;
-    return is_guaranteed ? work_rank::guaranteed_urgent : work_rank::urgent;
-}
-
-std::vector<dispatcher::waiting_step> dispatcher::list_waiting(boot_time now)
-{
-    std::vector<waiting_step> waiting;
-    for (auto& [id, job] : this->ledger.jobs()) {
-        if (is_final(job.phase))
-            continue;
-        std::optional<order_key> key;
-        bool is_job_in_time = false;
-        milliseconds slack{0};
-        for (std::uint32_t row = 0; row < job.steps.size(); ++row) {
-            const step_run& step = job.steps[row];
-            if (step.waiting.empty())
-                continue;
-            if (!key) {
-                const job_prospect prospect = this->find_prospect(job, now);
-                key = find_order(prospect, now);
-                is_job_in_time = is_in_time(prospect, now);
-                slack = prospect.objective - now - prospect.chain;
-            }
-            waiting.push_back({&job, row, this->find_rank(job), *key, is_job_in_time, slack});
-        }
-    }
-    std::sort(waiting.begin(), waiting.end(), [](const waiting_step& left, const waiting_step& right) {
-        return std::tie(left.key, left.job->id, left.step_row) < std::tie(right.key, right.job->id, right.step_row);
-    });
-    return waiting;
-}
-
-std::vector<std::uint32_t> dispatcher::count_present(const job_run& job, const unit& part) const
-{
-    if (job.step_of(part).tasks_per_executor() == 0)
-        return {};
-    std::vector<std::uint32_t> present(this->slots.size(), 0);
-    for (const unit& other : job.units) {
-        if (other.step_run != part.step_run)
-            continue;
-        for (const placed_task& task : other.members) {
-            const auto row = this->slot_rows.find(task.executor);
-            if (task.phase != member_phase::resolved && row != this->slot_rows.end())
-                ++present[row->second];
-        }
-    }
-    return present;
-}
-
-// Marks the executors on which the unit failed, unless it could not run without them.
-void dispatcher::avoid_failed(const unit& part, const placement_need& need)
-{
-    for (slot& place : this->slots)
-        place.is_avoided = !part.failed_on.empty() && part.failed_on.contains(place.executor);
-    if (part.failed_on.empty() || could_ever_fit(need, this->slots))
-        return;
-    for (slot& place : this->slots)
-        place.is_avoided = false;
-}
-
 placement_need dispatcher::make_need(const job_run& job, const unit& part, boot_time now)
 {
     const records::Step& step = job.step_of(part);
@@ -339,29 +133,13 @@
     });
 }
 
-// Whether the unit waits for executors that are good for it though half of the fleet is idle.
-bool dispatcher::is_overdue(const unit& part, boot_time now) const
-{
-    if (now - part.waiting_since < overdue_wait)
-        return false;
-    std::int64_t free = 0;
-    for (const slot& place : this->slots)
-        free += std::max<std::int64_t>(place.free.accelerators, 0);
-    return free * 2 > this->pool_accelerators;
-}
-
 // Runs slowly over several racks, or where it failed before, rather than not at all.
 std::optional<std::vector<std::size_t>> dispatcher::find_any_places(placement_need need,
                                                                     count_on_executor present) const
 {
     need.same_rack = false;
     need.may_leave_data_rack = true;
-    std::vector<slot> all = this->slots;
-    for (slot& place : all) {
-        place.is_avoided = false;
-        place.is_distrusted = false;
-    }
-    return find_places(need, all, present);
+    return find_places(need, this->slots.copy_without_doubts(), present);
 }
 
 std::optional<std::vector<std::string>> dispatcher::place_unit(const waiting_step& waiting, std::uint32_t unit_row,
@@ -370,21 +148,22 @@
     job_run& job = *waiting.job;
     unit& part = job.units[unit_row];
     const placement_need need = make_need(job, part, now);
-    const std::vector<std::uint32_t> present = this->count_present(job, part);
-    this->avoid_failed(part, need);
-    auto places = this->is_known_not_to_fit(need) ? std::nullopt : find_places(need, this->slots, present);
-    if (!places && this->is_overdue(part, now))
+    const std::vector<std::uint32_t> present = this->slots.count_present(job, part);
+    this->slots.mark_avoided(part, need);
+    auto places = this->is_known_not_to_fit(need) ? std::nullopt : find_places(need, this->slots.all(), present);
+    // It waits for executors that are good for it though much of the fleet is idle.
+    if (!places && now - part.waiting_since >= overdue_wait && this->slots.is_mostly_idle())
         places = this->find_any_places(need, present);
     if (!places) {
         if (part.failed_on.empty() && need.per_executor == 0)
             this->failed_needs.push_back(need);
-        this->make_room(waiting, unit_row, need, present, now);
+        this->room.make_room(waiting, unit_row, need, present, now);
         return std::nullopt;
     }
     std::vector<std::string> executors;
     for (const std::size_t row : *places) {
-        this->slots[row].free -= need.each;
-        executors.emplace_back(this->slots[row].executor);
+        this->slots.take(row, need.each);
+        executors.emplace_back(this->slots.all()[row].executor);
     }
     this->ledger.place(job, unit_row, executors, now);
     return executors;
@@ -411,115 +190,12 @@
         return;
     const records::Step& step =
         waiting.job->submission.steps(static_cast<int>(waiting.job->steps[waiting.step_row].step));
-    this->add_event("placed", waiting.job->id,
-                    "rank=" + std::string(find_name(waiting.rank)) +
-                        " step=" + std::to_string(waiting.job->steps[waiting.step_row].step) +
-                        " run=" + std::to_string(highest_run) + " tasks=" + std::to_string(placed) + " waited_ms=" +
-                        std::to_string(waited.count()) + " slack_ms=" + std::to_string(waiting.slack.count()) +
-                        " estimate_ms=" + std::to_string(step.estimate_ms()) + " on=" + executors);
-}
-
-void dispatcher::keep_reservation(const unit& part, const resources& each)
-{
-    for (const std::string& id : part.reserved_on) {
-        const auto row = this->slot_rows.find(id);
-        if (row != this->slot_rows.end())
-            this->slots[row->second].free -= each;
-    }
-}
-
-// All running units that less urgent work may ever be stopped for, with what a stop would lose.
-void dispatcher::list_stoppable(boot_time now)
-{
-    this->stoppable.clear();
-    this->running_units.clear();
-    for (auto& [id, job] : this->ledger.jobs()) {
-        const work_rank rank = this->find_rank(job);
-        if (rank == work_rank::guaranteed_urgent || job.unresolved == 0)
-            continue;
-        for (unit& part : job.units) {
-            const records::Step& step = job.step_of(part);
-            if (part.members.empty() || part.is_done || step.lasting())
-                continue;
-            running_unit owner{&job, &part, rank, step.checkpointing(), false};
-            stoppable_unit candidate;
-            candidate.each = find_need(step);
-            for (const placed_task& task : part.members) {
-                const auto row = this->slot_rows.find(task.executor);
-                owner.is_stopping = owner.is_stopping || task.is_stop_wanted;
-                if (row != this->slot_rows.end() && task.phase != member_phase::resolved)
-                    candidate.rows.push_back(row->second);
-            }
-            const double elapsed = to_seconds(now - part.placed_at);
-            const double lost = step.checkpointing() ? std::min(elapsed, checkpoint_loss_s) : elapsed;
-            const double cores = measure_cores(candidate.each) * static_cast<double>(part.members.size());
-            candidate.cost = owner.is_stopping ? 0 : stop_base_cost + lost * cores;
-            this->stoppable.push_back(std::move(candidate));
-            this->running_units.push_back(owner);
-        }
-    }
-    this->planner.emplace(this->slots, this->stoppable);
-}
-
-// Stops others for urgent work, or keeps executors free for work that has waited long.
-void dispatcher::make_room(const waiting_step& waiting, std::uint32_t unit_row, const placement_need& need,
-                           std::span<const std::uint32_t> present, boot_time now)
-{
-    job_run& job = *waiting.job;
-    unit& part = job.units[unit_row];
-    if (!part.reserved_on.empty() && now - part.reserved_at < reservation_time) {
-        this->keep_reservation(part, need.each);
-        return;
-    }
-    part.reserved_on.clear();
-    const bool is_urgent = waiting.rank <= work_rank::urgent;
-    if (!is_urgent && (this->reservations >= reservation_limit || now - job.arrived < reservation_wait))
-        return;
-    if (part.room_tried_at && now - *part.room_tried_at < make_room_pause)
-        return;
-    part.room_tried_at = now;
-    // Work without checkpoints is stopped only for a guarantee, or for urgent work that it brings in time.
-    const bool may_lose_work =
-        waiting.rank == work_rank::guaranteed_urgent || (waiting.rank == work_rank::urgent && waiting.is_in_time);
-    if (!this->planner)
-        this->list_stoppable(now);
-    for (std::size_t row = 0; row < this->stoppable.size(); ++row) {
-        const running_unit& owner = this->running_units[row];
-        this->stoppable[row].is_allowed = owner.rank > waiting.rank && (may_lose_work || owner.is_checkpointing);
-    }
-    const auto plan = this->planner->plan(need, present);
-    if (!plan) {
-        if (is_urgent)
-            this->add_event("no_room", job.id, "rank=" + std::string(find_name(waiting.rank)));
-        return;
-    }
-    const double own_work = measure_cores(need.each) * static_cast<double>(need.count) *
-                            to_seconds(milliseconds(job.step_of(part).estimate_ms()));
-    if (waiting.rank == work_rank::urgent && plan->cost > own_work * most_lost_work) {
-        this->add_event("stops_not_worth_it", job.id,
-                        "lost=" + std::to_string(plan->cost) + " own=" + std::to_string(own_work));
-        return;
-    }
-    std::size_t stopped = 0;
-    for (const std::size_t victim : plan->victims) {
-        running_unit& owner = this->running_units[victim];
-        if (owner.is_stopping)
-            continue;
-        ++stopped;
-        this->add_event("stopped_for", owner.job->id,
-                        "for=" + job.id + " rank=" + std::string(find_name(waiting.rank)) + " run=" +
-                            std::to_string(owner.part->run) + " lost=" + std::to_string(this->stoppable[victim].cost));
-        this->ledger.stop_unit(*owner.job, *owner.part, now);
-    }
-    // The list holds pointers to what has just changed.
-    if (stopped > 0)
-        this->planner.reset();
-    for (const std::size_t row : plan->places)
-        part.reserved_on.emplace_back(this->slots[row].executor);
-    part.reserved_at = now;
-    this->keep_reservation(part, need.each);
-    if (!is_urgent)
-        ++this->reservations;
+    this->events.add("placed", waiting.job->id,
+                     "rank=" + std::string(to_string(waiting.rank)) +
+                         " step=" + std::to_string(waiting.job->steps[waiting.step_row].step) +
+                         " run=" + std::to_string(highest_run) + " tasks=" + std::to_string(placed) + " waited_ms=" +
+                         std::to_string(waited.count()) + " slack_ms=" + std::to_string(waiting.slack.count()) +
+                         " estimate_ms=" + std::to_string(step.estimate_ms()) + " on=" + executors);
 }
 
 // Stops units that stand still, so that they are placed elsewhere.
@@ -552,10 +228,10 @@
             continue;
         host->health.note_bad_progress(now);
         part.failed_on.insert(task.executor);
-        this->add_event("stopped_standing_still", job.id,
-                        "executor=" + task.executor + " run=" + std::to_string(part.run) +
-                            " percent=" + std::to_string(task.progress.percent) +
-                            " running_ms=" + std::to_string((now - part.placed_at).count()));
+        this->events.add("stopped_standing_still", job.id,
+                         "executor=" + task.executor + " run=" + std::to_string(part.run) +
+                             " percent=" + std::to_string(task.progress.percent) +
+                             " running_ms=" + std::to_string((now - part.placed_at).count()));
         this->ledger.stop_unit(job, part, now);
         return;
     }
@@ -570,12 +246,11 @@
         this->moved_at = now;
         this->move_stuck_units(now);
     }
-    this->count_urgent_demand();
-    this->build_slots(now);
-    this->reservations = 0;
+    this->work.count_demand(this->ledger, this->policy);
+    this->slots.build(this->book, this->bounds.look_age, now);
     this->failed_needs.clear();
-    this->planner.reset();
-    for (const waiting_step& waiting : this->list_waiting(now))
+    this->room.begin_round();
+    for (const waiting_step& waiting : this->work.list(this->ledger, now))
         this->place_step(waiting, now);
 }
 
@@ -591,9 +266,9 @@
             is_whole = false;
             break;
         }
-        changes.records.push_back({id, run_ledger::make_record(job)});
+        changes.records.push_back({id, job.make_record()});
         bytes += changes.records.back().progress.ByteSizeLong();
-        this->ledger.collect_planned_starts(job, changes.starts);
+        job.collect_planned_starts(changes.starts);
         job.is_changed = false;
     }
     // An end may have changed a job whose record has to wait.
--- a/libraries/dispatch/executor_book.h
+++ b/libraries/dispatch/executor_book.h
@@ -30,7 +30,7 @@
     std::vector<std::string> labels;
     resources room; // All of it, used or not.
     bool is_draining = false;
-    std::uint64_t born_ms = 0; // Tells lives under one id apart; Unix time.
+    std::uint64_t born_ms = 0; // Tells lives under one id apart; Unix time; 0: not said.
 };
 
 enum class run_ending : std::uint8_t {
@@ -61,8 +61,8 @@
 
 // What an executor answered when it was looked at.
 struct look_report {
-    std::uint64_t born_ms = 0;
-    milliseconds clock{0}; // The executor's own steady clock.
+    std::uint64_t born_ms = 0; // 0: not said.
+    milliseconds clock{0};     // The executor's own steady clock.
     std::vector<running_task> running;
     std::vector<ended_task> ended;
 };
--- a/libraries/dispatch/job_run.h
+++ b/libraries/dispatch/job_run.h
@@ -11,9 +11,11 @@
 
 #include "base/time.h"
 #include "dispatch/executor_health.h"
+#include "dispatch/orders.h"
 #include "dispatch/resources.h"
 #include "jobs.pb.h"
 #include "jobs/fleet_policy.h"
+#include "jobs/job_keys.h"
 
 namespace wigeon {
 
@@ -83,6 +85,26 @@
         return this->submission.steps(static_cast<int>(this->steps[part.step_run].step));
     }
 
+    [[nodiscard]] std::uint32_t row_of(const unit& part) const
+    {
+        return static_cast<std::uint32_t>(&part - this->units.data());
+    }
+
+    // Makes the steps and units of the next occurrence; none of them may be placed yet.
+    void add_occurrence(std::uint32_t occurrence, boot_time now);
+
+    // Lets the units of steps wait for a place whose earlier steps are done.
+    void open_steps(std::uint32_t occurrence, boot_time now);
+
+    // The unit that holds the task, and the task's row among its members; null when the job has no such task.
+    unit* find_unit(const task_place& place, std::uint32_t& member_index);
+
+    // Adds the starts that become valid when the record of this moment is in the store.
+    void collect_planned_starts(std::vector<start_order>& orders) const;
+
+    // What a later leader has to know.
+    [[nodiscard]] records::JobProgress make_record() const;
+
     [[nodiscard]] std::uint32_t occurrence_count() const { return std::max(1U, this->submission.occurrences()); }
 };
 
--- a/libraries/dispatch/run_ledger.cpp
+++ b/libraries/dispatch/run_ledger.cpp
@@ -48,11 +48,11 @@
     for (const records::UnitProgress& saved : progress.units())
         occurrences = std::max(occurrences, saved.occurrence() + 1);
     for (std::uint32_t occurrence = 0; occurrence < occurrences; ++occurrence)
-        this->make_occurrence(job, occurrence, now);
+        job.add_occurrence(occurrence, now);
     for (const records::UnitProgress& saved : progress.units())
         this->adopt_unit(job, saved, progress, now);
     for (std::uint32_t occurrence = 0; occurrence < occurrences; ++occurrence)
-        this->open_steps(job, occurrence, now);
+        job.open_steps(occurrence, now);
     if (!is_wanted(job)) {
         for (unit& part : job.units)
             this->stop_unit(job, part, now);
@@ -60,29 +60,6 @@
     return job;
 }
 
-void run_ledger::make_occurrence(job_run& job, std::uint32_t occurrence, boot_time now)
-{
-    for (int row = 0; row < job.submission.steps_size(); ++row) {
-        const records::Step& step = job.submission.steps(row);
-        step_run made;
-        made.occurrence = occurrence;
-        made.step = static_cast<std::uint32_t>(row);
-        const std::uint32_t tasks = std::max(1U, step.count());
-        made.units_left = step.gang() ? 1 : tasks;
-        const auto step_row = static_cast<std::uint32_t>(job.steps.size());
-        for (std::uint32_t index = 0; index < made.units_left; ++index) {
-            unit part;
-            part.step_run = step_row;
-            part.first_task = index;
-            part.task_count = step.gang() ? tasks : 1;
-            part.waiting_since = now;
-            job.units.push_back(std::move(part));
-        }
-        job.steps.push_back(std::move(made));
-    }
-    job.occurrences_made = occurrence + 1;
-}
-
 void run_ledger::open_due_occurrences(job_run& job, std::uint64_t wall_ms, boot_time now)
 {
     if (!is_wanted(job))
@@ -93,33 +70,8 @@
         if (static_cast<std::int64_t>(wall_ms) < due)
             return;
         const std::uint32_t occurrence = job.occurrences_made;
-        this->make_occurrence(job, occurrence, now);
-        this->open_steps(job, occurrence, now);
-    }
-}
-
-void run_ledger::open_steps(job_run& job, std::uint32_t occurrence, boot_time now)
-{
-    const auto is_step_done = [&job, occurrence](std::uint32_t step) {
-        return std::any_of(job.steps.begin(), job.steps.end(), [&](const step_run& other) {
-            return other.occurrence == occurrence && other.step == step && other.units_left == 0;
-        });
-    };
-    for (std::uint32_t row = 0; row < job.steps.size(); ++row) {
-        step_run& step = job.steps[row];
-        if (step.is_open || step.occurrence != occurrence)
-            continue;
-        const auto& needed = job.submission.steps(static_cast<int>(step.step)).after();
-        if (!std::all_of(needed.begin(), needed.end(), is_step_done))
-            continue;
-        step.is_open = true;
-        for (std::uint32_t unit_row = 0; unit_row < job.units.size(); ++unit_row) {
-            unit& part = job.units[unit_row];
-            if (part.step_run != row || part.is_done || !part.members.empty())
-                continue;
-            part.waiting_since = now;
-            step.waiting.push_back(unit_row);
-        }
+        job.add_occurrence(occurrence, now);
+        job.open_steps(occurrence, now);
     }
 }
 
@@ -127,7 +79,7 @@
                             boot_time now)
 {
     std::uint32_t member_index = 0;
-    unit* part = this->find_unit(job, {saved.occurrence(), saved.step(), saved.first_task()}, member_index);
+    unit* part = job.find_unit({saved.occurrence(), saved.step(), saved.first_task()}, member_index);
     if (part == nullptr)
         return;
     part->run = saved.run();
@@ -141,7 +93,7 @@
     }
     if (saved.placed_on_size() != static_cast<int>(part->task_count))
         return;
-    const auto unit_row = static_cast<std::uint32_t>(part - job.units.data());
+    const auto unit_row = job.row_of(*part);
     const resources need = find_need(job.step_of(*part));
     for (const std::uint32_t row : saved.placed_on()) {
         placed_task task;
@@ -164,20 +116,6 @@
     this->by_executor[executor_id].push_back(target);
 }
 
-unit* run_ledger::find_unit(job_run& job, const task_place& place, std::uint32_t& member_index)
-{
-    for (unit& part : job.units) {
-        const step_run& step = job.steps[part.step_run];
-        if (step.occurrence != place.occurrence || step.step != place.step)
-            continue;
-        if (place.index < part.first_task || place.index >= part.first_task + part.task_count)
-            continue;
-        member_index = place.index - part.first_task;
-        return &part;
-    }
-    return nullptr;
-}
-
 placed_task* run_ledger::find_member(const member_reference& target, job_run*& job, unit*& part)
 {
     job = this->find(target.job);
@@ -298,7 +236,7 @@
     --job.unresolved;
     if (executor* host = this->book.find(task.executor))
         host->used -= find_need(job.step_of(part));
-    const auto unit_row = static_cast<std::uint32_t>(&part - job.units.data());
+    const auto unit_row = job.row_of(part);
     const auto member_row = static_cast<std::uint32_t>(&task - part.members.data());
     const auto indexed = this->by_executor.find(task.executor);
     if (indexed != this->by_executor.end()) {
@@ -328,7 +266,7 @@
     if (part.is_done || !is_wanted(job))
         return;
     part.waiting_since = now;
-    job.steps[part.step_run].waiting.push_back(static_cast<std::uint32_t>(&part - job.units.data()));
+    job.steps[part.step_run].waiting.push_back(job.row_of(part));
 }
 
 void run_ledger::finish_unit(job_run& job, unit& part, boot_time now)
@@ -338,10 +276,10 @@
     part.is_done = true;
     job.is_changed = true;
     step_run& step = job.steps[part.step_run];
-    std::erase(step.waiting, static_cast<std::uint32_t>(&part - job.units.data()));
+    std::erase(step.waiting, job.row_of(part));
     if (--step.units_left > 0)
         return;
-    this->open_steps(job, step.occurrence, now);
+    job.open_steps(step.occurrence, now);
     const bool is_complete =
         job.occurrences_made >= job.occurrence_count() &&
         std::all_of(job.steps.begin(), job.steps.end(), [](const step_run& other) { return other.units_left == 0; });
@@ -391,7 +329,7 @@
     if (job == nullptr)
         return;
     std::uint32_t member_index = 0;
-    unit* part = this->find_unit(*job, name->place, member_index);
+    unit* part = job->find_unit(name->place, member_index);
     if (part == nullptr)
         return;
     const bool is_lasting = job->step_of(*part).lasting();
@@ -424,7 +362,7 @@
     const auto name = parse_task_name(shown.task);
     job_run* job = name ? this->find(name->job) : nullptr;
     std::uint32_t member_index = 0;
-    unit* part = job != nullptr ? this->find_unit(*job, name->place, member_index) : nullptr;
+    unit* part = job != nullptr ? job->find_unit(name->place, member_index) : nullptr;
     const bool is_known = part != nullptr && part->run == shown.run && member_index < part->members.size() &&
                           part->members[member_index].executor == source.entry.id &&
                           part->members[member_index].phase != member_phase::resolved;
@@ -443,8 +381,7 @@
     task.confirmed_at = std::max(task.confirmed_at, sent_at);
     if (!shown.checkpoint.empty())
         part->checkpoint = shown.checkpoint;
-    const member_reference shown_member{job->id, static_cast<std::uint32_t>(part - job->units.data()), member_index,
-                                        shown.run};
+    const member_reference shown_member{job->id, job->row_of(*part), member_index, shown.run};
     if (!is_wanted(*job))
         this->want_stop(*job, *part, task, now);
     return shown_member;
@@ -557,58 +494,6 @@
     return orders;
 }
 
-void run_ledger::collect_planned_starts(const job_run& job, std::vector<start_order>& orders)
-{
-    for (std::uint32_t unit_row = 0; unit_row < job.units.size(); ++unit_row) {
-        const unit& part = job.units[unit_row];
-        for (std::uint32_t row = 0; row < part.members.size(); ++row) {
-            const placed_task& task = part.members[row];
-            if (task.phase != member_phase::planned)
-                continue;
-            const step_run& step = job.steps[part.step_run];
-            orders.push_back({{job.id, unit_row, row, part.run},
-                              task.executor,
-                              task.born_ms,
-                              make_task_name(job.id, {step.occurrence, step.step, part.first_task + row}),
-                              job.submission.payload(),
-                              part.checkpoint});
-        }
-    }
-}
-
-records::JobProgress run_ledger::make_record(const job_run& job)
-{
-    records::JobProgress record;
-    record.set_phase(job.phase);
-    std::map<std::pair<std::string, std::uint64_t>, std::uint32_t> rows;
-    for (const unit& part : job.units) {
-        if (part.run == 0)
-            continue;
-        records::UnitProgress& saved = *record.add_units();
-        saved.set_occurrence(job.steps[part.step_run].occurrence);
-        saved.set_step(job.steps[part.step_run].step);
-        saved.set_first_task(part.first_task);
-        saved.set_run(part.run);
-        saved.set_failures(part.failures);
-        saved.set_counted_run(part.counted_run);
-        saved.set_done(part.is_done);
-        if (part.is_done)
-            continue;
-        saved.set_checkpoint(part.checkpoint);
-        for (const placed_task& task : part.members) {
-            const auto [place, is_new] =
-                rows.try_emplace({task.executor, task.born_ms}, static_cast<std::uint32_t>(rows.size()));
-            if (is_new) {
-                records::ExecutorLife& life = *record.add_executors();
-                life.set_id(task.executor);
-                life.set_born_ms(task.born_ms);
-            }
-            saved.add_placed_on(place->second);
-        }
-    }
-    return record;
-}
-
 void run_ledger::drop_settled()
 {
     std::erase_if(this->runs, [](const auto& entry) {
--- a/libraries/dispatch/run_ledger.h
+++ b/libraries/dispatch/run_ledger.h
@@ -15,42 +15,11 @@
 
 #include "dispatch/executor_book.h"
 #include "dispatch/job_run.h"
+#include "dispatch/orders.h"
 #include "jobs/job_keys.h"
 
 namespace wigeon {
 
-// Names one task of one run.
-struct member_reference {
-    std::string job;
-    std::uint32_t unit = 0;
-    std::uint32_t member = 0;
-    std::uint32_t run = 0;
-
-    friend bool operator==(const member_reference&, const member_reference&) = default;
-};
-
-struct start_order {
-    member_reference target;
-    std::string executor;
-    std::uint64_t born_ms = 0;
-    std::string task;
-    std::string payload;
-    std::string checkpoint; // Empty: from the beginning.
-};
-
-struct stop_order {
-    member_reference target; // The job is empty when the ledger does not know the task.
-    std::string executor;
-    std::string task;
-};
-
-enum class start_answer : std::uint8_t {
-    accepted,
-    refused_for_room,
-    refused, // Certainly not started.
-    unknown,
-};
-
 class run_ledger {
 public:
     run_ledger(executor_book& book, milliseconds stop_time);
@@ -84,11 +53,6 @@
     // Stops to send now; marks them as on their way.
     std::vector<stop_order> collect_stops(boot_time now);
 
-    // Adds the job's starts that become valid when its record of this moment is in the store.
-    static void collect_planned_starts(const job_run& job, std::vector<start_order>& orders);
-
-    [[nodiscard]] static records::JobProgress make_record(const job_run& job);
-
     [[nodiscard]] std::map<std::string, job_run, std::less<>>& jobs() { return this->runs; }
     [[nodiscard]] const std::map<std::string, job_run, std::less<>>& jobs() const { return this->runs; }
     job_run* find(std::string_view id);
@@ -105,11 +69,8 @@
     [[nodiscard]] resources sum_used(std::string_view executor_id) const;
 
 private:
-    void make_occurrence(job_run& job, std::uint32_t occurrence, boot_time now);
-    void open_steps(job_run& job, std::uint32_t occurrence, boot_time now);
     void adopt_unit(job_run& job, const records::UnitProgress& saved, const records::JobProgress& progress,
                     boot_time now);
-    unit* find_unit(job_run& job, const task_place& place, std::uint32_t& member_index);
     placed_task* find_member(const member_reference& target, job_run*& job, unit*& part);
     void take_end(executor& source, const ended_task& ended, boot_time now);
     std::optional<member_reference> take_running(const executor& source, const running_task& shown,
--- /dev/null
+++ b/libraries/dispatch/waiting_work.cpp
@@ -0,0 +1,121 @@
+// Ranks jobs by priority and guarantee, and sorts their waiting steps.
+
+#include "dispatch/waiting_work.h"
+
+#include <algorithm>
+#include <optional>
+#include <tuple>
+
+#include "jobs/job_table.h"
+
+namespace wigeon {
+
+namespace {
+
+// A job is of some use until this many times its objective has passed, as the users' contract has it.
+constexpr int last_use_factor = 3;
+
+// Between the hand-in and the first work, and between the last work and the state that callers see: two appends to the
+// store and two calls, 20 ms each.
+constexpr milliseconds path_time{150};
+
+std::int64_t count_accelerators(const records::Submission& submission)
+{
+    std::int64_t sum = 0;
+    for (const records::Step& step : submission.steps())
+        sum += static_cast<std::int64_t>(step.accelerators()) * std::max(1U, step.count());
+    return sum;
+}
+
+// The longest chain of steps by their estimates; of those that are not done, or of all.
+milliseconds find_chain(const job_run& job, bool is_whole)
+{
+    // Steps wait for earlier ones only, so one pass finds the longest chain of what is not done.
+    std::vector<std::int64_t> chain(static_cast<std::size_t>(job.submission.steps_size()), 0);
+    std::int64_t longest = 0;
+    for (int row = 0; row < job.submission.steps_size(); ++row) {
+        const records::Step& step = job.submission.steps(row);
+        std::int64_t before = 0;
+        for (const std::uint32_t earlier : step.after()) {
+            if (earlier < chain.size())
+                before = std::max(before, chain[earlier]);
+        }
+        const bool is_done = !is_whole && std::any_of(job.steps.begin(), job.steps.end(), [row](const step_run& made) {
+            return made.step == static_cast<std::uint32_t>(row) && made.units_left == 0;
+        });
+        chain[static_cast<std::size_t>(row)] = before + (is_done ? 0 : step.estimate_ms());
+        longest = std::max(longest, chain[static_cast<std::size_t>(row)]);
+    }
+    return milliseconds(longest);
+}
+
+} // namespace
+
+void waiting_work::count_demand(const run_ledger& ledger, const fleet_policy& policy)
+{
+    this->accounts.clear();
+    for (const auto& [id, job] : ledger.jobs()) {
+        if (job.policy.priority != 0 || is_final(job.phase))
+            continue;
+        const std::string& name = job.submission.account();
+        const auto [entry, is_new] = this->accounts.try_emplace(name);
+        if (const account_policy* account = is_new ? policy.find_account(name) : nullptr)
+            entry->second.guaranteed = account->guaranteed_accelerators;
+        entry->second.demand += count_accelerators(job.submission);
+    }
+}
+
+work_rank waiting_work::find_rank(const job_run& job) const
+{
+    if (job.policy.priority == 1)
+        return work_rank::regular;
+    if (job.policy.priority > 1)
+        return work_rank::background;
+    const auto account = this->accounts.find(job.submission.account());
+    const bool is_guaranteed = account != this->accounts.end() && account->second.demand <= account->second.guaranteed;
+    return is_guaranteed ? work_rank::guaranteed_urgent : work_rank::urgent;
+}
+
+job_prospect waiting_work::find_prospect(const job_run& job) const
+{
+    const auto whole = static_cast<double>(find_chain(job, true).count());
+    job_prospect prospect;
+    prospect.rank = this->find_rank(job);
+    prospect.arrived = job.arrived;
+    prospect.chain = find_chain(job, false) + path_time;
+    const auto allowed = milliseconds(static_cast<std::int64_t>(job.policy.stretch * whole)) + job.policy.target;
+    prospect.objective = job.arrived + allowed;
+    prospect.last_use = job.arrived + last_use_factor * allowed;
+    return prospect;
+}
+
+std::vector<waiting_step> waiting_work::list(run_ledger& ledger, boot_time now) const
+{
+    std::vector<waiting_step> waiting;
+    for (auto& [id, job] : ledger.jobs()) {
+        if (is_final(job.phase))
+            continue;
+        std::optional<waiting_step> common; // What all steps of the job share.
+        for (std::uint32_t row = 0; row < job.steps.size(); ++row) {
+            if (job.steps[row].waiting.empty())
+                continue;
+            if (!common) {
+                const job_prospect prospect = this->find_prospect(job);
+                common = waiting_step{&job,
+                                      row,
+                                      prospect.rank,
+                                      find_order(prospect, now),
+                                      is_in_time(prospect, now),
+                                      prospect.objective - now - prospect.chain};
+            }
+            common->step_row = row;
+            waiting.push_back(*common);
+        }
+    }
+    std::sort(waiting.begin(), waiting.end(), [](const waiting_step& left, const waiting_step& right) {
+        return std::tie(left.key, left.job->id, left.step_row) < std::tie(right.key, right.job->id, right.step_row);
+    });
+    return waiting;
+}
+
+} // namespace wigeon
--- a/libraries/dispatch/work_order.cpp
+++ b/libraries/dispatch/work_order.cpp
@@ -22,6 +22,21 @@
     return now + job.chain <= job.objective;
 }
 
+std::string_view to_string(work_rank rank)
+{
+    switch (rank) {
+    case work_rank::guaranteed_urgent:
+        return "guaranteed";
+    case work_rank::urgent:
+        return "urgent";
+    case work_rank::regular:
+        return "regular";
+    case work_rank::background:
+        return "background";
+    }
+    return "unknown";
+}
+
 order_key find_order(const job_prospect& job, boot_time now)
 {
     const milliseconds slack = job.objective - now - job.chain;
--- a/libraries/dispatch/work_order.h
+++ b/libraries/dispatch/work_order.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <cstdint>
+#include <string_view>
 #include <tuple>
 
 #include "base/time.h"
@@ -17,6 +18,8 @@
     background,
 };
 
+std::string_view to_string(work_rank rank);
+
 struct job_prospect {
     work_rank rank = work_rank::regular;
     boot_time arrived;
--- a/libraries/node/executor_service.h
+++ b/libraries/node/executor_service.h
@@ -38,6 +38,7 @@
 struct look_result {
     executor_verdict answer = executor_verdict::unknown;
     look_report report; // When accepted.
+    std::string reason; // Why it was not, for the log.
 };
 
 // An executor's address and the life that is meant.
@@ -48,7 +49,7 @@
 
 struct order_result {
     executor_verdict answer = executor_verdict::unknown;
-    std::string reason; // As the executor said it; empty: none.
+    std::string reason; // Why it was not accepted, as the executor said it or in our words; for logs and counters.
 };
 
 class executor_service {
--- a/libraries/node/leader.cpp
+++ b/libraries/node/leader.cpp
@@ -1,4 +1,4 @@
-// The leader's loop: rounds of decisions, one append at a time, orders behind it, and looks at all executors.
+// The leader's loop: rounds of decisions, the append of what they decided, and the orders behind it.
 
 #include "node/leader.h"
 
@@ -26,31 +26,22 @@
 // Rounds also run at this pace, for stops that were not answered and leases that lapsed.
 constexpr milliseconds upkeep_interval{200};
 
-// A look waits this long for an end. While tasks run it must leave time to renew their leases twice more.
-constexpr milliseconds busy_look_wait{1'000};
-constexpr milliseconds idle_look_wait{2'000};
-
-// After a failed look; doubled up to the longest pause while the executor stays out of reach.
-constexpr milliseconds failed_look_pause{250};
-constexpr milliseconds longest_look_pause{1'000};
-
-// Ends that are shown again while they are on their way to the store are not asked for faster than this.
-constexpr milliseconds noted_look_pause{500};
-
-// An append that was refused or lost is sent again after this time.
-constexpr milliseconds append_pause{60};
-
-// Beside the longest time of a stop; as much as the ledger asks for, and a little for timers.
-constexpr milliseconds denial_margin{60};
-
 // The first round waits until most executors have been looked at, but no longer than this.
 constexpr milliseconds first_round_limit{400};
-constexpr std::size_t known_share_percent = 90;
 
-// Executors that have left the directory are looked at until they have been silent for this long.
-constexpr std::uint32_t unlisted_look_failures = 3;
+// A read of the state that a new leader takes over is tried again after this time.
+constexpr milliseconds read_pause{60};
+
+// One more than the term, since executors take a missing token as 0.
+std::uint64_t make_fencing_token(std::uint64_t term)
+{
+    return term + 1;
+}
 
-constexpr std::string_view producer_name = "leader";
+leadership_end find_end(progress_outcome outcome)
+{
+    return outcome == progress_outcome::fenced ? leadership_end::fenced_at_store : leadership_end::store_out_of_reach;
+}
 
 } // namespace
 
@@ -69,125 +60,40 @@
     return "unknown";
 }
 
-// Takes the executors' entries in the directory.
-class leader::directory_consumer : public topic_consumer {
-public:
-    explicit directory_consumer(leader& owner) : chief(owner) {}
-
-    void apply(const stored_record& record, boot_time now) override
-    {
-        const std::string& id = record.content.key;
-        if (!record.content.value) {
-            this->chief.work.remove_executor(id, now);
-            return;
-        }
-        std::string problem;
-        const auto entry = this->chief.decoder.decode_executor(id, *record.content.value, problem);
-        if (!entry) {
-            process_metrics().count("wigeon_documents_skipped_total");
-            if (this->skipped.insert(id).second)
-                log_change("executor_entry_skipped", {{"executor", id}, {"reason", problem}});
-            return;
-        }
-        const executor* known = this->chief.work.executors().find(id);
-        const bool was_draining = known != nullptr && known->entry.is_draining;
-        this->chief.work.update_executor(*entry, now);
-        if (entry->is_draining && !was_draining)
-            log_change("executor_draining", {{"executor", id}});
-        if (!this->chief.contacts.contains(id)) {
-            this->chief.contacts[id].timer = std::make_unique<boost::asio::steady_timer>(this->chief.loop);
-            // What an executor says means nothing before the jobs are known.
-            if (this->chief.stage == phase::leading)
-                this->chief.look(id);
-        }
-    }
-
-    void finish_pages(const std::map<std::string, std::uint64_t, std::less<>>& keys, boot_time now) override
-    {
-        for (const auto& [id, host] : this->chief.work.executors().all()) {
-            if (host.is_listed && !keys.contains(id))
-                this->chief.work.remove_executor(id, now);
-        }
-    }
-
-    void finish_read(std::size_t record_count, boot_time sent_at, boot_time now) override
-    {
-        static_cast<void>(sent_at);
-        static_cast<void>(now);
-        if (record_count > 0)
-            this->chief.schedule_round(this->chief.round_pause);
-    }
-
-private:
-    leader& chief;
-    std::set<std::string> skipped; // Logged once; each time is counted.
-};
-
-namespace {
-
-// Executors that drain get no new work 2 s after they said so; entries change more often than that with every beat.
-constexpr reading_pace directory_pace{milliseconds(0), milliseconds(400)};
-
-} // namespace
-
 leader::leader(boost::asio::io_context& event_loop, record_store& record_target, executor_service& executor_calls,
-               node_state& node, const document_topics& topics, const document_decoder& document_reader,
+               node_state& node, const document_topics& topics, const document_decoder& decoder,
                const dispatch_bounds& bounds, leader_identity own_identity, std::uint64_t term)
-    : loop(event_loop),
-      store(record_target),
-      executors(executor_calls),
-      state(node),
-      decoder(document_reader),
+    : state(node),
       work(bounds, boot_clock::now()),
       identity(std::move(own_identity)),
       own_term(term),
-      fencing_token(term + 1),
-      directory_taker(std::make_unique<directory_consumer>(*this)),
-      directory(std::make_shared<topic_reader>(event_loop, record_target, topics.executors_topic, directory_pace,
-                                               *directory_taker)),
+      led_since(boot_clock::now()),
+      writer(std::make_shared<progress_writer>(event_loop, record_target, term, led_since)),
+      contacts(std::make_shared<executor_contacts>(event_loop, record_target, executor_calls, work, decoder,
+                                                   topics.executors_topic, make_fencing_token(term), *this)),
+      read_timer(event_loop),
       round_timer(event_loop),
-      append_timer(event_loop),
       upkeep_timer(event_loop)
 {
 }
 
-leader::~leader() = default;
-
-void leader::start(std::function<void(leadership_end)> end_handler)
+leader::~leader()
 {
-    this->ended = std::move(end_handler);
-    this->led_since = boot_clock::now();
-    this->last_store_answer = this->led_since;
-    this->directory->start();
-    this->shut_out_former_leader();
+    this->writer->stop();
+    this->contacts->stop();
 }
 
-void leader::shut_out_former_leader()
+void leader::start(std::function<void(leadership_end)> end_handler)
 {
-    append_condition condition;
-    condition.producer = {std::string(producer_name), this->own_term + 1, 0};
-    this->store.append(progress_topic, {}, condition, [self = this->shared_from_this()](const append_result& result) {
-        if (self->stage != phase::shutting_out)
-            return;
-        if (result.status == append_status::fenced) {
-            self->finish(leadership_end::fenced_at_store);
-            return;
-        }
-        if (result.status == append_status::done || result.status == append_status::out_of_sequence) {
-            self->next_sequence = result.status == append_status::done ? 1 : result.expected_sequence;
-            self->stage = phase::reading;
-            self->read_to_end();
-            return;
-        }
-        if (boot_clock::now() - self->led_since > unconfirmed_leader_limit) {
-            self->finish(leadership_end::store_out_of_reach);
+    this->ended = std::move(end_handler);
+    this->contacts->start();
+    this->writer->shut_out_former_leader([self = this->shared_from_this()](progress_outcome outcome) {
+        if (outcome != progress_outcome::done) {
+            self->finish(find_end(outcome));
             return;
         }
-        self->append_timer.expires_after(append_pause);
-        self->append_timer.async_wait([self](const boost::system::error_code& reason) {
-            if (!reason && self->stage == phase::shutting_out)
-                self->shut_out_former_leader();
-        });
+        self->stage = phase::reading;
+        self->read_to_end();
     });
 }
 
@@ -197,25 +103,29 @@
         if (self->stage != phase::reading)
             return;
         self->state.refresh_jobs([self, is_progress_current](bool are_jobs_current) {
-            if (self->stage != phase::reading)
-                return;
-            if (is_progress_current && are_jobs_current && self->state.is_complete() && self->directory->is_paged()) {
-                self->begin();
-                return;
-            }
-            if (boot_clock::now() - self->led_since > unconfirmed_leader_limit) {
-                self->finish(leadership_end::store_out_of_reach);
-                return;
-            }
-            self->append_timer.expires_after(append_pause);
-            self->append_timer.async_wait([self](const boost::system::error_code& reason) {
-                if (!reason && self->stage == phase::reading)
-                    self->read_to_end();
-            });
+            if (self->stage == phase::reading)
+                self->take_reading(is_progress_current && are_jobs_current);
         });
     });
 }
 
+void leader::take_reading(bool is_current)
+{
+    if (is_current && this->state.is_complete() && this->contacts->is_directory_read()) {
+        this->begin();
+        return;
+    }
+    if (boot_clock::now() - this->led_since > unconfirmed_leader_limit) {
+        this->finish(leadership_end::store_out_of_reach);
+        return;
+    }
+    this->read_timer.expires_after(read_pause);
+    this->read_timer.async_wait([self = this->shared_from_this()](const boost::system::error_code& reason) {
+        if (!reason && self->stage == phase::reading)
+            self->read_to_end();
+    });
+}
+
 void leader::begin()
 {
     const boot_time now = boot_clock::now();
@@ -234,8 +144,7 @@
                            {"executors", std::to_string(this->work.executors().all().size())},
                            {"after_ms", std::to_string((now - this->led_since).count())}});
     process_metrics().set_gauge("wigeon_leading", 1);
-    for (const auto& [id, link] : this->contacts)
-        this->schedule_look(id, milliseconds(0));
+    this->contacts->begin_looks();
     this->schedule_round(this->round_pause);
 }
 
@@ -245,12 +154,11 @@
         return;
     const bool was_leading = this->stage == phase::leading;
     this->stage = phase::ended;
-    this->directory->stop();
+    this->writer->stop();
+    this->contacts->stop();
+    this->read_timer.cancel();
     this->round_timer.cancel();
-    this->append_timer.cancel();
     this->upkeep_timer.cancel();
-    for (auto& [id, link] : this->contacts)
-        link.timer->cancel();
     if (was_leading)
         this->state.end_leading();
     process_metrics().set_gauge("wigeon_leading", 0);
@@ -290,18 +198,11 @@
     this->schedule_round(this->round_pause);
 }
 
-bool leader::are_executors_known(boot_time now) const
+// The first round waits for most executors, so that their room is known, but not for long.
+bool leader::may_decide(boot_time now) const
 {
-    if (now - this->led_since > first_round_limit && this->directory->is_paged())
-        return true;
-    std::size_t listed = 0;
-    std::size_t reached = 0;
-    for (const auto& [id, host] : this->work.executors().all()) {
-        listed += host.is_listed ? 1 : 0;
-        reached += host.is_listed && host.is_reached ? 1 : 0;
-    }
-    constexpr std::size_t whole_percent = 100;
-    return listed > 0 && reached * whole_percent >= listed * known_share_percent;
+    const bool has_waited = now - this->led_since > first_round_limit;
+    return !this->is_resigning && (has_waited || this->contacts->are_most_known());
 }
 
 void leader::schedule_round(milliseconds delay)
@@ -320,16 +221,16 @@
 void leader::run_round()
 {
     const boot_time now = boot_clock::now();
-    if (now - this->last_store_answer > unconfirmed_leader_limit) {
+    if (this->writer->is_out_of_reach(now)) {
         this->finish(leadership_end::store_out_of_reach);
         return;
     }
     if (!this->pending) {
-        if (this->are_executors_known(now) && !this->is_resigning)
+        if (this->may_decide(now))
             this->decide(now);
         this->commit();
     }
-    this->send_stops(now);
+    this->contacts->send_stops(now);
     this->log_events();
     if (this->stage == phase::leading && !this->is_round_scheduled) {
         this->upkeep_timer.expires_after(upkeep_interval);
@@ -382,49 +283,11 @@
     this->has_told_resignation = this->is_resigning;
     this->pending = std::move(changes);
     this->last_append = now;
-    this->send_append();
-}
-
-void leader::send_append()
-{
-    append_condition condition;
-    condition.producer = {std::string(producer_name), this->own_term + 1, this->next_sequence};
-    this->store.append(progress_topic, this->pending_records, condition,
-                       [self = this->shared_from_this()](const append_result& result) { self->take_append(result); });
-}
-
-void leader::take_append(const append_result& result)
-{
-    if (this->stage != phase::leading)
-        return;
-    const boot_time now = boot_clock::now();
-    if (result.status == append_status::done) {
-        this->last_store_answer = now;
-        ++this->next_sequence;
-        process_metrics().observe_ms("wigeon_commit_ms", static_cast<double>((now - this->last_append).count()));
-        this->confirm();
-        return;
-    }
-    if (result.status == append_status::fenced || result.status == append_status::condition_failed) {
-        this->finish(leadership_end::fenced_at_store);
-        return;
-    }
-    if (result.status == append_status::out_of_sequence) {
-        // No other process has this epoch, so an expected number that is higher by one says that the append was done.
-        log_change("append_out_of_sequence", {{"sent", std::to_string(this->next_sequence)},
-                                              {"expected", std::to_string(result.expected_sequence)}});
-        const bool is_done = result.expected_sequence == this->next_sequence + 1;
-        this->next_sequence = result.expected_sequence;
-        if (is_done) {
-            this->confirm();
-            return;
-        }
-    }
-    count_retry(result.status == append_status::unknown ? "append_lost" : "append_rejected");
-    this->append_timer.expires_after(append_pause);
-    this->append_timer.async_wait([self = this->shared_from_this()](const boost::system::error_code& reason) {
-        if (!reason && self->stage == phase::leading)
-            self->send_append();
+    this->writer->append(this->pending_records, [self = this->shared_from_this()](progress_outcome outcome) {
+        if (outcome == progress_outcome::done)
+            self->confirm();
+        else
+            self->finish(find_end(outcome));
     });
 }
 
@@ -447,210 +310,20 @@
                                      {"term", std::to_string(this->own_term)}});
     }
     for (const start_order& order : this->work.confirm_changes(changes, now))
-        this->send_start(order);
+        this->contacts->send_start(order);
     // The executors may now forget these ends.
     for (const dispatch_changes::noted_ends& noted : changes.ends)
-        this->schedule_look(noted.executor, milliseconds(0));
+        this->contacts->look_soon(noted.executor);
     this->schedule_round(this->round_pause);
 }
 
-void leader::send_start(const start_order& order)
-{
-    executor* host = this->work.executors().find(order.executor);
-    if (host == nullptr || !host->is_reached) {
-        this->work.take_start_answer(order, start_answer::refused, boot_clock::now());
-        return;
-    }
-    const boot_time now = boot_clock::now();
-    const milliseconds deadline = this->work.executors().extend_lease(*host, now);
-    const executor_target target{order.executor, host->entry.address};
-    this->executors.start(
-        target, order, deadline, this->fencing_token,
-        [self = this->shared_from_this(), order, sent_at = now](const order_result& result) {
-            if (self->stage != phase::leading)
-                return;
-            const boot_time answered = boot_clock::now();
-            process_metrics().observe_ms("wigeon_start_ms", static_cast<double>((answered - sent_at).count()));
-            start_answer answer = start_answer::refused;
-            switch (result.answer) {
-            case executor_verdict::accepted:
-                answer = start_answer::accepted;
-                break;
-            case executor_verdict::fenced:
-                self->take_fence(order.executor);
-                return;
-            case executor_verdict::no_room:
-                answer = start_answer::refused_for_room;
-                break;
-            case executor_verdict::refused:
-                break;
-            case executor_verdict::unreachable:
-                // Not to be chosen again before it answers a look.
-                if (executor* silent = self->work.executors().find(order.executor))
-                    silent->last_look_sent.reset();
-                break;
-            case executor_verdict::unknown:
-                answer = start_answer::unknown;
-                break;
-            }
-            if (answer != start_answer::accepted) {
-                count_retry("start_" + (result.reason.empty() ? std::string("unanswered") : result.reason));
-                log_change("start_failed", {{"job", order.target.job},
-                                            {"task", order.task},
-                                            {"run", std::to_string(order.target.run)},
-                                            {"executor", order.executor},
-                                            {"reason", result.reason.empty() ? "no answer" : result.reason}});
-            }
-            self->work.take_start_answer(order, answer, answered);
-            if (answer != start_answer::accepted)
-                self->schedule_round(self->round_pause);
-        });
-}
-
-void leader::send_stops(boot_time now)
-{
-    if (this->stage != phase::leading)
-        return;
-    for (const stop_order& order : this->work.collect_stops(now)) {
-        const executor* host = this->work.executors().find(order.executor);
-        if (host == nullptr) {
-            this->work.take_stop_answer(order, false, now);
-            continue;
-        }
-        this->executors.stop({order.executor, host->entry.address}, order, this->fencing_token,
-                             [self = this->shared_from_this(), order](const order_result& result) {
-                                 if (self->stage != phase::leading)
-                                     return;
-                                 if (result.answer == executor_verdict::fenced) {
-                                     self->take_fence(order.executor);
-                                     return;
-                                 }
-                                 const bool is_known = is_stop_acknowledged(result.answer);
-                                 self->work.take_stop_answer(order, is_known, boot_clock::now());
-                                 if (is_known)
-                                     self->schedule_denial(order);
-                             });
-    }
-}
-
-// A look that waits for an end would tell a second later that the stopped run is not there.
-void leader::schedule_denial(const stop_order& order)
+void leader::take_news()
 {
-    const auto timer = std::make_shared<boost::asio::steady_timer>(this->loop);
-    timer->expires_after(this->work.stop_time() + denial_margin);
-    timer->async_wait([self = this->shared_from_this(), timer, order](const boost::system::error_code& reason) {
-        if (reason || self->stage != phase::leading || !self->work.awaits_denial(order))
-            return;
-        executor* host = self->work.executors().find(order.executor);
-        if (host == nullptr || !host->is_reached)
-            return;
-        look_request request;
-        request.fencing_token = self->fencing_token;
-        request.last_end_noted = host->last_end_noted;
-        const boot_time now = boot_clock::now();
-        self->executors.look({order.executor, host->entry.address}, request,
-                             [self, id = order.executor, now](const look_result& result) {
-                                 if (self->stage != phase::leading || result.answer != executor_verdict::accepted)
-                                     return;
-                                 self->work.take_look(id, result.report, now, boot_clock::now());
-                                 self->schedule_round(self->round_pause);
-                             });
-    });
-}
-
-void leader::schedule_look(const std::string& id, milliseconds pause)
-{
-    const auto found = this->contacts.find(id);
-    if (found == this->contacts.end() || found->second.is_looking || this->stage == phase::ended)
-        return;
-    boost::asio::steady_timer& timer = *found->second.timer;
-    timer.expires_after(pause);
-    timer.async_wait([self = this->shared_from_this(), id](const boost::system::error_code& reason) {
-        if (!reason && self->stage != phase::ended)
-            self->look(id);
-    });
-}
-
-void leader::look(const std::string& id)
-{
-    const auto found = this->contacts.find(id);
-    executor* host = this->work.executors().find(id);
-    if (found == this->contacts.end() || found->second.is_looking || host == nullptr)
-        return;
-    contact& link = found->second;
-    if (!host->is_listed && link.failures_in_row >= unlisted_look_failures) {
-        this->executors.forget(host->entry.address);
-        this->contacts.erase(found);
-        return;
-    }
-    const boot_time now = boot_clock::now();
-    look_request request;
-    request.fencing_token = this->fencing_token;
-    request.last_end_noted = host->last_end_noted;
-    const bool has_members = this->work.runs().has_members_on(id);
-    if (host->is_reached) {
-        // What this leader has not seen yet keeps the lease that the former leader gave it.
-        if (has_members)
-            request.lease_deadline = this->work.executors().extend_lease(*host, now);
-        // Ends that are on their way to the store would be listed again at once.
-        const bool is_noting = host->last_end_seen > host->last_end_noted;
-        request.wait = is_noting ? milliseconds(0) : has_members ? busy_look_wait : idle_look_wait;
-    }
-    link.is_looking = true;
-    this->executors.look(
-        {id, host->entry.address}, request,
-        [self = this->shared_from_this(), id, now](const look_result& result) { self->take_look(id, now, result); });
-}
-
-void leader::take_look(const std::string& id, boot_time sent_at, const look_result& result)
-{
-    if (this->stage == phase::ended)
-        return;
-    const auto found = this->contacts.find(id);
-    if (found == this->contacts.end())
-        return;
-    contact& link = found->second;
-    link.is_looking = false;
-    if (result.answer == executor_verdict::fenced) {
-        this->take_fence(id);
-        return;
-    }
-    executor* host = this->work.executors().find(id);
-    if (result.answer != executor_verdict::accepted || host == nullptr) {
-        if (link.failures_in_row == 0)
-            log_change("executor_out_of_reach", {{"executor", id}});
-        ++link.failures_in_row;
-        if (host != nullptr)
-            host->last_look_sent.reset();
-        process_metrics().count("wigeon_looks_failed_total");
-        this->schedule_look(id, std::min(failed_look_pause * link.failures_in_row, longest_look_pause));
-        return;
-    }
-    if (link.failures_in_row > 0)
-        log_change("executor_reached_again", {{"executor", id}, {"failures", std::to_string(link.failures_in_row)}});
-    link.failures_in_row = 0;
-    const boot_time now = boot_clock::now();
-    const bool was_reached = host->is_reached;
-    const std::uint64_t ends_before = host->last_end_seen;
-    this->work.take_look(id, result.report, sent_at, now);
-    for (const ended_task& ended : result.report.ended) {
-        if (ended.number > ends_before && ended.ending != run_ending::done)
-            log_change("run_ended", {{"task", ended.task},
-                                     {"run", std::to_string(ended.run)},
-                                     {"executor", id},
-                                     {"ending", std::string(to_string(ended.ending))}});
-    }
-    const bool is_noting = host->last_end_seen > host->last_end_noted;
-    // A first look without anything new is followed by one that renews; the append of ends calls for the next one
-    // itself.
-    this->schedule_look(id, is_noting ? noted_look_pause : milliseconds(0));
-    if (!was_reached || is_noting || host->last_end_seen > ends_before)
-        this->schedule_round(this->round_pause);
+    this->schedule_round(this->round_pause);
 }
 
-void leader::take_fence(const std::string& id)
+void leader::take_fence()
 {
-    log_change("fenced", {{"executor", id}, {"token", std::to_string(this->fencing_token)}});
     this->finish(leadership_end::fenced_at_executor);
 }
 
--- a/libraries/node/leader.h
+++ b/libraries/node/leader.h
@@ -3,17 +3,18 @@
 #pragma once
 
 #include <functional>
-#include <map>
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
 #include "dispatch/dispatcher.h"
-#include "node/executor_service.h"
+#include "node/executor_contacts.h"
 #include "node/node_state.h"
+#include "node/progress_writer.h"
 
 namespace wigeon {
 
@@ -31,7 +32,9 @@
 
 std::string_view to_string(leadership_end end);
 
-class leader : public node_state::job_listener, public std::enable_shared_from_this<leader> {
+class leader : public node_state::job_listener,
+               public executor_contacts::listener,
+               public std::enable_shared_from_this<leader> {
 public:
     leader(boost::asio::io_context& loop, record_store& store, executor_service& executors, node_state& state,
            const document_topics& topics, const document_decoder& decoder, const dispatch_bounds& bounds,
@@ -49,6 +52,8 @@
 
     void take_job_change(const std::string& job, boot_time now) override;
     void take_policy(const fleet_policy& policy, boot_time now) override;
+    void take_news() override;
+    void take_fence() override;
 
     [[nodiscard]] std::uint64_t term() const { return this->own_term; }
     [[nodiscard]] bool is_leading() const { return this->stage == phase::leading; }
@@ -56,18 +61,8 @@
 private:
     enum class phase : std::uint8_t { shutting_out, reading, leading, ended };
 
-    // The contact with one executor.
-    struct contact {
-        bool is_looking = false;
-        std::unique_ptr<boost::asio::steady_timer> timer;
-        std::uint32_t failures_in_row = 0;
-        std::size_t orders_on_way = 0;
-    };
-
-    class directory_consumer;
-
-    void shut_out_former_leader();
     void read_to_end();
+    void take_reading(bool is_current);
     void begin();
     void finish(leadership_end end);
 
@@ -75,48 +70,30 @@
     void decide(boot_time now);
     void schedule_round(milliseconds delay);
     void commit();
-    void send_append();
-    void take_append(const append_result& result);
     void confirm();
-    void send_start(const start_order& order);
-    void send_stops(boot_time now);
-    void look(const std::string& id);
-    void schedule_denial(const stop_order& order);
-    void schedule_look(const std::string& id, milliseconds pause);
-    void take_look(const std::string& id, boot_time sent_at, const look_result& result);
-    void take_fence(const std::string& id);
     void log_events();
     [[nodiscard]] std::string make_beat(bool is_resigned) const;
-    [[nodiscard]] bool are_executors_known(boot_time now) const;
+    [[nodiscard]] bool may_decide(boot_time now) const;
 
-    boost::asio::io_context& loop;
-    record_store& store;
-    executor_service& executors;
     node_state& state;
-    const document_decoder& decoder;
     dispatcher work;
     leader_identity identity;
     const std::uint64_t own_term;
-    const std::uint64_t fencing_token; // One more than the term, since a missing token counts as 0.
+    const boot_time led_since;
     phase stage = phase::shutting_out;
     std::function<void(leadership_end)> ended;
-    std::unique_ptr<directory_consumer> directory_taker;
-    std::shared_ptr<topic_reader> directory;
-    std::map<std::string, contact, std::less<>> contacts;
+    std::shared_ptr<progress_writer> writer;
+    std::shared_ptr<executor_contacts> contacts;
+    boost::asio::steady_timer read_timer;
     boost::asio::steady_timer round_timer;
-    boost::asio::steady_timer append_timer;
     boost::asio::steady_timer upkeep_timer;
     bool is_round_scheduled = false;
     milliseconds round_pause{3}; // Before the next round, by what the last one took.
     bool is_resigning = false;
-    bool has_told_resignation = false; // The append on its way says so.
-    // The append on its way; its records are sent again until the store says what became of them.
-    std::optional<dispatch_changes> pending;
+    bool has_told_resignation = false;       // The append on its way says so.
+    std::optional<dispatch_changes> pending; // What becomes valid with the append on its way.
     std::vector<keyed_record> pending_records;
-    std::uint64_t next_sequence = 0;
-    boot_time led_since;
     boot_time last_append;
-    boot_time last_store_answer;
 };
 
 } // namespace wigeon
--- a/libraries/node/node_state.cpp
+++ b/libraries/node/node_state.cpp
@@ -51,19 +51,6 @@
         this->state.listener->take_job_change(std::string(cancelled ? *cancelled : record.content.key), now);
     }
 
-    void finish_pages(const std::map<std::string, std::uint64_t, std::less<>>& keys, boot_time now) override
-    {
-        static_cast<void>(keys);
-        static_cast<void>(now);
-    }
-
-    void finish_read(std::size_t record_count, boot_time sent_at, boot_time now) override
-    {
-        static_cast<void>(record_count);
-        static_cast<void>(sent_at);
-        static_cast<void>(now);
-    }
-
 private:
     node_state& state;
 };
@@ -134,19 +121,6 @@
             this->state.listener->take_policy(*this->state.in_force, now);
     }
 
-    void finish_pages(const std::map<std::string, std::uint64_t, std::less<>>& keys, boot_time now) override
-    {
-        static_cast<void>(keys);
-        static_cast<void>(now);
-    }
-
-    void finish_read(std::size_t record_count, boot_time sent_at, boot_time now) override
-    {
-        static_cast<void>(record_count);
-        static_cast<void>(sent_at);
-        static_cast<void>(now);
-    }
-
 private:
     node_state& state;
 };
--- a/libraries/store/topic_reader.h
+++ b/libraries/store/topic_reader.h
@@ -24,10 +24,19 @@
     virtual void apply(const stored_record& record, boot_time now) = 0;
 
     // All keys that exist have been applied; a key of before that isn't in `keys` was removed.
-    virtual void finish_pages(const std::map<std::string, std::uint64_t, std::less<>>& keys, boot_time now) = 0;
+    virtual void finish_pages(const std::map<std::string, std::uint64_t, std::less<>>& keys, boot_time now)
+    {
+        static_cast<void>(keys);
+        static_cast<void>(now);
+    }
 
     // A read reached the topic's end; all that was there when it was sent has been applied.
-    virtual void finish_read(std::size_t record_count, boot_time sent_at, boot_time now) = 0;
+    virtual void finish_read(std::size_t record_count, boot_time sent_at, boot_time now)
+    {
+        static_cast<void>(record_count);
+        static_cast<void>(sent_at);
+        static_cast<void>(now);
+    }
 };
 
 struct reading_pace {
--- a/tests/dispatch/run_ledger_test.cpp
+++ b/tests/dispatch/run_ledger_test.cpp
@@ -14,7 +14,7 @@
 std::vector<start_order> list_planned(const job_run& job)
 {
     std::vector<start_order> orders;
-    run_ledger::collect_planned_starts(job, orders);
+    job.collect_planned_starts(orders);
     return orders;
 }
 
@@ -255,7 +255,7 @@
 {
     job_run& first = this->add_job(1, false);
     this->place(first, 0, {"e1"});
-    const records::JobProgress record = run_ledger::make_record(first);
+    const records::JobProgress record = first.make_record();
     executor_book fresh_book(milliseconds(6'000), this->now);
     executor_entry entry = this->book.find("e1")->entry;
     fresh_book.update(entry, this->now);
@@ -284,7 +284,7 @@
     for (const char* id : {"e1", "e2"})
         fresh_book.update(this->book.find(id)->entry, this->now);
     run_ledger fresh(fresh_book, stop_time);
-    job_run& job = fresh.add("job", first.submission, first.policy, run_ledger::make_record(first), this->now);
+    job_run& job = fresh.add("job", first.submission, first.policy, first.make_record(), this->now);
     look_report report;
     report.born_ms = 7;
     report.clock = milliseconds(20'000);
