Queues with an advisor are served: tickets asked for, kept while they hold, carried by starts

Before, jobs for such queues were refused (advice_not_supported), though the contracts in force name them. Now the leader asks the advisor about executors that could take the step now (urgent steps: also about full ones), one question at a time, places only where a ticket will still hold when the start arrives, remembers who was turned down, and drops a ticket that an executor refuses. Where the deployment names no advisor such jobs are still refused at the hand-in.

Ruled out: asking for all executors at once (each costs time), and asking while nothing is free for work that may not stop others.

--- a/libraries/dispatch/dispatcher.cpp
+++ b/libraries/dispatch/dispatcher.cpp
@@ -97,6 +97,11 @@
 
 void dispatcher::take_start_answer(const start_order& order, start_answer answer, boot_time now)
 {
+    if (answer == start_answer::refused_ticket) {
+        const job_run* job = this->ledger.find(order.target.job);
+        if (job != nullptr && order.target.unit < job->units.size())
+            this->advice.drop_ticket(make_step_name(*job, job->units[order.target.unit]), order.executor);
+    }
     this->ledger.take_start_answer(order.target, answer, now);
 }
 
@@ -149,13 +154,15 @@
     unit& part = job.units[unit_row];
     const placement_need need = make_need(job, part, now);
     const std::vector<std::uint32_t> present = this->slots.count_present(job, part);
+    this->advice.mark_permitted(this->slots, job, part, now);
     this->slots.mark_avoided(part, need);
     auto places = this->is_known_not_to_fit(need) ? std::nullopt : find_places(need, this->slots.all(), present);
     // It waits for executors that are good for it though much of the fleet is idle.
     if (!places && now - part.waiting_since >= overdue_wait && this->slots.is_mostly_idle())
         places = this->find_any_places(need, present);
     if (!places) {
-        if (part.failed_on.empty() && need.per_executor == 0)
+        this->advice.request(this->slots, job, part, need, waiting.rank <= work_rank::urgent);
+        if (part.failed_on.empty() && need.per_executor == 0 && !job.policy.advice)
             this->failed_needs.push_back(need);
         this->room.make_room(waiting, unit_row, need, present, now);
         return std::nullopt;
@@ -166,6 +173,10 @@
         executors.emplace_back(this->slots.all()[row].executor);
     }
     this->ledger.place(job, unit_row, executors, now);
+    if (job.policy.advice) {
+        for (placed_task& task : part.members)
+            task.ticket = this->advice.find_ticket(make_step_name(job, part), task.executor, now);
+    }
     return executors;
 }
 
@@ -249,6 +260,7 @@
     this->work.count_demand(this->ledger, this->policy);
     this->slots.build(this->book, this->bounds.look_age, now);
     this->failed_needs.clear();
+    this->advice.begin_round();
     this->room.begin_round();
     for (const waiting_step& waiting : this->work.list(this->ledger, now))
         this->place_step(waiting, now);
--- a/libraries/dispatch/dispatcher.h
+++ b/libraries/dispatch/dispatcher.h
@@ -3,11 +3,12 @@
 
 #pragma once
 
-#include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
 
+#include "dispatch/advice_desk.h"
 #include "dispatch/dispatch_event.h"
 #include "dispatch/executor_book.h"
 #include "dispatch/placement.h"
@@ -63,6 +64,14 @@
     void take_start_answer(const start_order& order, start_answer answer, boot_time now);
     void take_stop_answer(const stop_order& order, bool is_acknowledged, boot_time now);
 
+    // A question to the advisor, if one is due and none is under way; the answer is owed to take_advice.
+    std::optional<advice_question> take_question(boot_time now) { return this->advice.take_question(now); }
+    void take_advice(const advice_question& question, const std::optional<advice_answer>& answer, boot_time sent_at,
+                     boot_time now)
+    {
+        this->advice.take_answer(question, answer, sent_at, now);
+    }
+
     // Places waiting units and stops others for them.
     void decide(std::uint64_t wall_ms, boot_time now);
 
@@ -102,6 +111,7 @@
     // Of the round.
     slot_table slots;
     waiting_work work;
+    advice_desk advice;
     std::vector<placement_need> failed_needs; // What did not fit.
     dispatch_events events;
     room_maker room;
--- a/libraries/dispatch/job_run.cpp
+++ b/libraries/dispatch/job_run.cpp
@@ -116,7 +116,8 @@
                               task.born_ms,
                               make_task_name(this->id, {step.occurrence, step.step, part.first_task + row}),
                               this->submission.payload(),
-                              part.checkpoint});
+                              part.checkpoint,
+                              task.ticket});
         }
     }
 }
--- a/libraries/dispatch/job_run.h
+++ b/libraries/dispatch/job_run.h
@@ -32,6 +32,7 @@
     std::string executor;
     std::uint64_t born_ms = 0; // The life of the executor that was chosen, or that runs it.
     bool is_seen = false;      // A look at that life has shown it.
+    std::string ticket;        // The advisor's, for the start.
     member_phase phase = member_phase::planned;
     boot_time confirmed_at; // Looks sent before this need not show the task.
     bool is_stop_wanted = false;
--- a/libraries/dispatch/orders.h
+++ b/libraries/dispatch/orders.h
@@ -24,6 +24,7 @@
     std::string task;
     std::string payload;
     std::string checkpoint; // Empty: from the beginning.
+    std::string ticket;     // Where the queue has an advisor; else empty.
 };
 
 struct stop_order {
@@ -35,6 +36,7 @@
 enum class start_answer : std::uint8_t {
     accepted,
     refused_for_room,
+    refused_ticket,
     refused, // Certainly not started.
     unknown,
 };
--- a/libraries/dispatch/placement.cpp
+++ b/libraries/dispatch/placement.cpp
@@ -88,7 +88,7 @@
 
 bool is_eligible(const placement_need& need, const slot& place)
 {
-    if (place.is_distrusted || place.is_avoided || place.pool != need.pool)
+    if (!place.is_permitted || place.is_distrusted || place.is_avoided || place.pool != need.pool)
         return false;
     if (!need.required_label.empty() &&
         std::find(place.labels.begin(), place.labels.end(), need.required_label) == place.labels.end())
--- a/libraries/dispatch/placement.h
+++ b/libraries/dispatch/placement.h
@@ -24,6 +24,7 @@
     resources free;             // Not used and not reserved; may be negative.
     bool is_distrusted = false; // Gets no new task for now.
     bool is_avoided = false;    // The unit that is being placed failed there.
+    bool is_permitted = true;   // The unit that is being placed may run there at all.
 };
 
 struct placement_need {
--- a/libraries/dispatch/run_ledger.cpp
+++ b/libraries/dispatch/run_ledger.cpp
@@ -196,6 +196,7 @@
         return;
     case start_answer::refused:
     case start_answer::refused_for_room:
+    case start_answer::refused_ticket:
         if (task->phase == member_phase::ordered)
             this->resolve(*job, *part, *task, now);
         return;
--- a/libraries/dispatch/slot_table.cpp
+++ b/libraries/dispatch/slot_table.cpp
@@ -84,6 +84,18 @@
         place.is_avoided = false;
 }
 
+void slot_table::permit_all()
+{
+    for (slot& place : this->slots)
+        place.is_permitted = true;
+}
+
+void slot_table::permit_if(const std::function<bool(std::string_view)>& is_permitted)
+{
+    for (slot& place : this->slots)
+        place.is_permitted = is_permitted(place.executor);
+}
+
 std::vector<slot> slot_table::copy_without_doubts() const
 {
     std::vector<slot> copy = this->slots;
--- a/libraries/dispatch/slot_table.h
+++ b/libraries/dispatch/slot_table.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <span>
@@ -38,6 +39,9 @@
     // Marks the executors on which the unit failed, unless it could not run without them.
     void mark_avoided(const unit& part, const placement_need& need);
 
+    void permit_all();
+    void permit_if(const std::function<bool(std::string_view)>& is_permitted);
+
     // The same slots with none distrusted and none avoided.
     [[nodiscard]] std::vector<slot> copy_without_doubts() const;
 
--- a/libraries/jobs/fleet_policy.h
+++ b/libraries/jobs/fleet_policy.h
@@ -4,6 +4,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -12,6 +13,12 @@
 
 namespace wigeon {
 
+// What a queue's advisor needs to decide which executors may run a step.
+struct advice_terms {
+    milliseconds decision_time{0}; // For a question.
+    milliseconds time_each{0};     // And for each executor that is named.
+};
+
 struct queue_policy {
     std::string name;
     std::string host;           // Of the requests that belong to the queue.
@@ -22,7 +29,7 @@
     double stretch = 1; // A job is late when it takes longer than this times its longest chain of work, and `target`.
     milliseconds target{0};
     bool is_public = false;
-    bool needs_advice = false;
+    std::optional<advice_terms> advice; // None: any executor of the pool may run its steps.
 };
 
 struct account_policy {
--- /dev/null
+++ b/libraries/node/advice_service.h
@@ -0,0 +1,24 @@
+// The advisor of queues whose policy lets only some executors run a step. The call returns at once; the handler runs
+// later on the event loop.
+
+#pragma once
+
+#include <functional>
+#include <optional>
+
+#include "dispatch/ticket_book.h"
+
+namespace wigeon {
+
+class advice_service {
+public:
+    virtual ~advice_service() = default;
+
+    // False when the deployment has none; queues that need one can then not be served.
+    [[nodiscard]] virtual bool is_known() const = 0;
+
+    // Nothing when it was busy, did not answer, or can't be understood.
+    virtual void ask(const advice_question& question, std::function<void(std::optional<advice_answer>)> done) = 0;
+};
+
+} // namespace wigeon
--- a/libraries/node/executor_contacts.cpp
+++ b/libraries/node/executor_contacts.cpp
@@ -92,19 +92,17 @@
     std::set<std::string> skipped; // Logged once; each time is counted.
 };
 
-executor_contacts::executor_contacts(boost::asio::io_context& event_loop, record_store& store,
-                                     executor_service& executor_calls, dispatcher& dispatcher_told,
-                                     const document_decoder& document_reader, std::string_view directory_topic,
-                                     std::uint64_t token, listener& contact_owner)
+executor_contacts::executor_contacts(boost::asio::io_context& event_loop, const node_connections& outside,
+                                     dispatcher& dispatcher_told, std::uint64_t token, listener& contact_owner)
     : loop(event_loop),
-      executors(executor_calls),
+      executors(outside.executors),
       work(dispatcher_told),
-      decoder(document_reader),
+      decoder(outside.decoder),
       fencing_token(token),
       owner(contact_owner),
       directory_taker(std::make_unique<directory_consumer>(*this)),
-      directory(std::make_shared<topic_reader>(event_loop, store, std::string(directory_topic), directory_pace,
-                                               *directory_taker))
+      directory(std::make_shared<topic_reader>(event_loop, outside.store, outside.topics.executors_topic,
+                                               directory_pace, *directory_taker))
 {
 }
 
@@ -177,6 +175,9 @@
     case executor_verdict::no_room:
         answer = start_answer::refused_for_room;
         break;
+    case executor_verdict::ticket_refused:
+        answer = start_answer::refused_ticket;
+        break;
     case executor_verdict::refused:
         break;
     case executor_verdict::unreachable:
--- a/libraries/node/executor_contacts.h
+++ b/libraries/node/executor_contacts.h
@@ -7,14 +7,12 @@
 #include <map>
 #include <memory>
 #include <string>
-#include <string_view>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
 #include "dispatch/dispatcher.h"
-#include "node/document_decoder.h"
-#include "node/executor_service.h"
+#include "node/node_connections.h"
 #include "store/topic_reader.h"
 
 namespace wigeon {
@@ -30,9 +28,8 @@
         virtual void take_fence() = 0;
     };
 
-    executor_contacts(boost::asio::io_context& loop, record_store& store, executor_service& executors, dispatcher& work,
-                      const document_decoder& decoder, std::string_view directory_topic, std::uint64_t fencing_token,
-                      listener& owner);
+    executor_contacts(boost::asio::io_context& loop, const node_connections& outside, dispatcher& work,
+                      std::uint64_t fencing_token, listener& owner);
     ~executor_contacts();
 
     executor_contacts(const executor_contacts&) = delete;
--- a/libraries/node/executor_service.h
+++ b/libraries/node/executor_service.h
@@ -16,9 +16,10 @@
     accepted,
     fenced, // The executor has seen a higher fencing token.
     no_room,
-    refused,     // Any other refusal; certainly not carried out.
-    unreachable, // Certainly not sent.
-    unknown,     // No answer: carried out, or not, or later.
+    ticket_refused, // Not carried out; the advisor's ticket does not hold there.
+    refused,        // Any other refusal; certainly not carried out.
+    unreachable,    // Certainly not sent.
+    unknown,        // No answer: carried out, or not, or later.
 };
 
 // Whether the stopped run can certainly not start any more. An executor that refuses a stop has done nothing: an order
--- a/libraries/node/leader.cpp
+++ b/libraries/node/leader.cpp
@@ -60,21 +60,20 @@
     return "unknown";
 }
 
-leader::leader(boost::asio::io_context& event_loop, record_store& record_target, executor_service& executor_calls,
-               node_state& node, const document_topics& topics, const document_decoder& decoder,
+leader::leader(boost::asio::io_context& loop, const node_connections& outside, node_state& node,
                const leader_options& options, std::uint64_t term)
-    : state(node),
+    : advisor(outside.advisor),
+      state(node),
       work(options.bounds, boot_clock::now()),
       identity(options.identity),
       own_term(term),
       led_since(boot_clock::now()),
-      writer(std::make_shared<progress_writer>(event_loop, record_target, term, led_since)),
-      contacts(std::make_shared<executor_contacts>(event_loop, record_target, executor_calls, work, decoder,
-                                                   topics.executors_topic, make_fencing_token(term), *this)),
-      sweeper(std::make_shared<job_sweeper>(record_target, node, options.job_retention)),
-      read_timer(event_loop),
-      round_timer(event_loop),
-      upkeep_timer(event_loop)
+      writer(std::make_shared<progress_writer>(loop, outside.store, term, led_since)),
+      contacts(std::make_shared<executor_contacts>(loop, outside, work, make_fencing_token(term), *this)),
+      sweeper(std::make_shared<job_sweeper>(outside.store, node, options.job_retention)),
+      read_timer(loop),
+      round_timer(loop),
+      upkeep_timer(loop)
 {
 }
 
@@ -229,6 +228,7 @@
             this->decide(now);
         this->commit();
     }
+    this->ask_advisor(now);
     this->contacts->send_stops(now);
     this->sweeper->sweep(now);
     this->log_events();
@@ -317,6 +317,28 @@
     this->schedule_round(this->round_pause);
 }
 
+void leader::ask_advisor(boot_time now)
+{
+    auto question = this->stage == phase::leading ? this->work.take_question(now) : std::nullopt;
+    if (!question)
+        return;
+    const advice_question asked = *question;
+    this->advisor.ask(asked, [self = this->shared_from_this(), asked, now](const std::optional<advice_answer>& answer) {
+        if (self->stage != phase::leading)
+            return;
+        const boot_time answered = boot_clock::now();
+        process_metrics().observe_ms("wigeon_advice_ms", static_cast<double>((answered - now).count()));
+        log_change("advice", {{"step", asked.step},
+                              {"asked", std::to_string(asked.executors.size())},
+                              {"allowed", answer ? std::to_string(answer->tickets.size()) : "unknown"},
+                              {"took_ms", std::to_string((answered - now).count())}});
+        self->work.take_advice(asked, answer, now, answered);
+        // Without an answer the next regular round asks again.
+        if (answer)
+            self->schedule_round(self->round_pause);
+    });
+}
+
 void leader::take_news()
 {
     this->schedule_round(this->round_pause);
--- a/libraries/node/leader.h
+++ b/libraries/node/leader.h
@@ -14,6 +14,7 @@
 #include "dispatch/dispatcher.h"
 #include "node/executor_contacts.h"
 #include "node/job_sweeper.h"
+#include "node/node_connections.h"
 #include "node/node_state.h"
 #include "node/progress_writer.h"
 
@@ -43,9 +44,8 @@
                public executor_contacts::listener,
                public std::enable_shared_from_this<leader> {
 public:
-    leader(boost::asio::io_context& loop, record_store& store, executor_service& executors, node_state& state,
-           const document_topics& topics, const document_decoder& decoder, const leader_options& options,
-           std::uint64_t term);
+    leader(boost::asio::io_context& loop, const node_connections& outside, node_state& state,
+           const leader_options& options, std::uint64_t term);
     ~leader() override;
 
     leader(const leader&) = delete;
@@ -78,10 +78,12 @@
     void schedule_round(milliseconds delay);
     void commit();
     void confirm();
+    void ask_advisor(boot_time now);
     void log_events();
     [[nodiscard]] std::string make_beat(bool is_resigned) const;
     [[nodiscard]] bool may_decide(boot_time now) const;
 
+    advice_service& advisor;
     node_state& state;
     dispatcher work;
     leader_identity identity;
--- a/libraries/node/node_process.cpp
+++ b/libraries/node/node_process.cpp
@@ -73,8 +73,7 @@
 {
     if (this->is_stopping)
         return;
-    this->chief = std::make_shared<leader>(this->loop, this->outside.store, this->outside.executors, this->follower,
-                                           this->outside.topics, this->outside.decoder, this->options.leading, term);
+    this->chief = std::make_shared<leader>(this->loop, this->outside, this->follower, this->options.leading, term);
     log_change("term_claimed", {{"term", std::to_string(term)}});
     this->chief->start([this](leadership_end end) {
         static_cast<void>(end);
--- a/libraries/node/node_process.h
+++ b/libraries/node/node_process.h
@@ -14,6 +14,7 @@
 #include "node/caller_service.h"
 #include "node/candidacy.h"
 #include "node/leader.h"
+#include "node/node_connections.h"
 #include "node/node_state.h"
 
 namespace wigeon {
@@ -29,14 +30,6 @@
     milliseconds stop_grace{0}; // Within it the process must have ended.
 };
 
-// Where the outside systems are met.
-struct node_connections {
-    record_store& store;
-    executor_service& executors;
-    const document_decoder& decoder;
-    document_topics topics;
-};
-
 class node_process {
 public:
     node_process(boost::asio::io_context& loop, const node_options& options, const node_connections& outside);
--- a/services/node/main.cpp
+++ b/services/node/main.cpp
@@ -19,6 +19,7 @@
 #include "base/metrics.h"
 #include "base/version.h"
 #include "node/node_process.h"
+#include "platform/advice_client.h"
 #include "platform/caller_interface.h"
 #include "platform/documents.h"
 #include "platform/executor_client.h"
@@ -161,10 +162,11 @@
     boost::asio::io_context loop(1);
     platform::store_client store(loop, settings.store_address);
     platform::executor_client executors(loop);
+    platform::advice_client advisor(loop, settings.advisor_address);
     const platform::json_documents documents;
     const node_options options = make_options(settings);
-    node_process node(loop, options, {store, executors, documents, platform::make_document_topics()});
-    platform::caller_interface callers(node.callers(), node.state());
+    node_process node(loop, options, {store, executors, advisor, documents, platform::make_document_topics()});
+    platform::caller_interface callers(node.callers(), node.state(), advisor.is_known());
     settings_watch watch(loop, path, settings, store);
 
     boost::asio::signal_set signals(loop, SIGTERM, SIGINT, SIGHUP);
--- /dev/null
+++ b/tests/dispatch/advice_test.cpp
@@ -0,0 +1,174 @@
+// Queues whose advisor chooses the executors: who is asked, and where the work goes.
+
+#include <algorithm>
+
+#include <boost/test/unit_test.hpp>
+
+#include "dispatch/dispatcher.h"
+
+namespace wigeon {
+
+namespace {
+
+constexpr dispatch_bounds bounds{milliseconds(6'000), milliseconds(200), milliseconds(5'000)};
+constexpr milliseconds validity{3'000};
+
+// Four executors of 8 accelerators, and a queue of each priority with an advisor.
+struct advised_fixture {
+    boot_time now{milliseconds(1'000'000)};
+    dispatcher work{bounds, this->now};
+    std::vector<start_order> starts; // Of the last round.
+
+    advised_fixture()
+    {
+        fleet_policy policy;
+        for (const std::uint32_t priority : {0U, 2U}) {
+            queue_policy queue;
+            queue.name = "q" + std::to_string(priority);
+            queue.pool = "pool";
+            queue.priority = priority;
+            queue.advice = advice_terms{milliseconds(10), milliseconds(2)};
+            policy.queues.push_back(queue);
+        }
+        queue_policy plain;
+        plain.name = "plain";
+        plain.pool = "pool";
+        plain.priority = 2;
+        policy.queues.push_back(plain);
+        policy.accounts.push_back({"account", {}, 32});
+        this->work.set_policy(policy);
+        for (int row = 0; row < 4; ++row) {
+            executor_entry entry;
+            entry.id = "e" + std::to_string(row);
+            entry.pool = "pool";
+            entry.room = {64'000, 128'000, 8};
+            this->work.update_executor(entry, this->now);
+            look_report report;
+            report.clock = milliseconds(10'000);
+            this->work.take_look(entry.id, report, this->now, this->now);
+        }
+    }
+
+    void add(const std::string& id, const std::string& queue, std::uint32_t tasks, std::uint32_t accelerators)
+    {
+        records::Submission submission;
+        submission.set_queue(queue);
+        submission.set_account("account");
+        records::Step& step = *submission.add_steps();
+        step.set_count(tasks);
+        step.set_accelerators(accelerators);
+        step.set_estimate_ms(8'000);
+        step.set_checkpointing(true);
+        this->work.add_job(id, submission, {}, 0, this->now);
+    }
+
+    std::optional<advice_question> decide()
+    {
+        this->now += milliseconds(50);
+        this->work.decide(0, this->now);
+        this->starts = this->work.confirm_changes(this->work.collect_changes(), this->now);
+        for (const start_order& order : this->starts)
+            this->work.take_start_answer(order, start_answer::accepted, this->now);
+        return this->work.take_question(this->now);
+    }
+
+    void allow(const advice_question& question, const std::vector<std::string>& executors)
+    {
+        advice_answer answer;
+        answer.valid_for = validity;
+        for (const std::string& executor : executors)
+            answer.tickets.push_back({executor, "ticket of " + executor});
+        this->work.take_advice(question, answer, this->now, this->now);
+    }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(advice_story)
+
+BOOST_FIXTURE_TEST_CASE(work_waits_until_the_advisor_has_named_executors, advised_fixture)
+{
+    this->add("job", "q2", 3, 8);
+    const auto question = this->decide();
+    BOOST_REQUIRE(question.has_value());
+    BOOST_TEST(question->step == "job.0.0");
+    BOOST_TEST(question->executors.size() == 4U);
+    BOOST_TEST(question->longest_answer.count() == 18);
+    BOOST_TEST(this->starts.empty());
+    BOOST_TEST(!this->decide().has_value()); // One question at a time.
+    this->allow(*question, {"e1", "e3"});
+    BOOST_TEST(!this->decide().has_value()); // The others were turned down, which does not change.
+    BOOST_REQUIRE(this->starts.size() == 2U);
+    for (const start_order& order : this->starts) {
+        BOOST_TEST((order.executor == "e1" || order.executor == "e3"));
+        BOOST_TEST(order.ticket == "ticket of " + order.executor);
+    }
+}
+
+BOOST_FIXTURE_TEST_CASE(queues_without_an_advisor_are_not_touched, advised_fixture)
+{
+    this->add("job", "q2", 1, 8);
+    this->add("other", "plain", 3, 8);
+    BOOST_TEST(this->decide().has_value());
+    BOOST_TEST(this->starts.size() == 3U);
+    BOOST_TEST(this->starts[0].ticket.empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(a_ticket_that_ends_before_a_start_arrives_is_asked_for_anew, advised_fixture)
+{
+    this->add("job", "q2", 1, 8);
+    const auto question = this->decide();
+    BOOST_REQUIRE(question.has_value());
+    this->allow(*question, {"e1"});
+    this->now += validity - milliseconds(300);
+    const auto again = this->decide();
+    BOOST_TEST(this->starts.empty());
+    BOOST_REQUIRE(again.has_value());
+    BOOST_REQUIRE(again->executors.size() == 1U);
+    BOOST_TEST(again->executors[0] == "e1");
+}
+
+BOOST_FIXTURE_TEST_CASE(a_refused_ticket_is_not_used_again, advised_fixture)
+{
+    this->add("job", "q2", 1, 8);
+    const auto question = this->decide();
+    this->allow(*question, {"e1"});
+    this->work.decide(0, this->now);
+    const auto orders = this->work.confirm_changes(this->work.collect_changes(), this->now);
+    BOOST_REQUIRE(orders.size() == 1U);
+    this->work.take_start_answer(orders[0], start_answer::refused_ticket, this->now);
+    BOOST_TEST(this->decide().has_value());
+    BOOST_TEST(this->starts.empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(a_question_without_an_answer_is_put_again_after_a_pause, advised_fixture)
+{
+    this->add("job", "q2", 1, 8);
+    const auto question = this->decide();
+    this->work.take_advice(*question, std::nullopt, this->now, this->now);
+    BOOST_TEST(!this->decide().has_value());
+    this->now += milliseconds(100);
+    BOOST_TEST(this->decide().has_value());
+}
+
+BOOST_FIXTURE_TEST_CASE(urgent_work_may_get_the_place_of_others_on_executors_that_it_is_allowed, advised_fixture)
+{
+    this->add("plain", "plain", 4, 8);
+    this->decide();
+    BOOST_TEST(this->starts.size() == 4U);
+    this->add("batch", "q2", 1, 8);
+    BOOST_TEST(!this->decide().has_value()); // There is no room to ask about.
+    this->add("urgent", "q0", 1, 8);
+    const auto question = this->decide();
+    BOOST_REQUIRE(question.has_value());
+    BOOST_TEST(question->step == "urgent.0.0");
+    this->allow(*question, {"e2"});
+    this->decide();
+    const auto stops = this->work.collect_stops(this->now);
+    BOOST_REQUIRE(stops.size() == 1U);
+    BOOST_TEST(stops[0].executor == "e2");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace wigeon
--- a/tests/integration/node_test.cpp
+++ b/tests/integration/node_test.cpp
@@ -75,9 +75,30 @@
     BOOST_TEST(system.cancel(0, make_id(2), "batch") == 410);
     BOOST_TEST(system.submit(0, make_id(3), "nowhere", long_task) == 404);
     BOOST_TEST(system.submit(0, make_id(3), "batch", R"({"count":0})") == 400);
-    BOOST_TEST(system.submit(0, make_id(4), "advised", long_task) == 503); // Could never run.
 }
 
+BOOST_AUTO_TEST_SUITE(a_queue_whose_advisor_chooses_the_executors)
+
+BOOST_AUTO_TEST_CASE(has_its_tasks_run_with_tickets_only)
+{
+    node_cluster system({.nodes = 2, .executors = 4});
+    BOOST_TEST(system.submit(0, make_id(1), "advised", gang_and_tasks) == 200);
+    BOOST_TEST(system.submit(1, make_id(2), "batch", gang_and_tasks) == 200);
+    BOOST_TEST(system.wait_for_state(make_id(1), "advised", "completed", patience));
+    BOOST_TEST(system.wait_for_state(make_id(2), "batch", "completed", patience));
+    BOOST_TEST(system.read_report().starts == 12U);
+    BOOST_TEST(system.read_metrics(wait_for_leader(system)).find("start_ticket") == std::string::npos);
+    check_fleet(system);
+}
+
+BOOST_AUTO_TEST_CASE(is_refused_where_no_advisor_is_known)
+{
+    node_cluster system({.nodes = 1, .executors = 2, .has_advisor = false});
+    BOOST_TEST(system.submit(0, make_id(1), "advised", long_task) == 503); // Could never run.
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_CASE(a_killed_leader_is_followed_and_its_running_work_goes_on)
 {
     node_cluster system({.nodes = 3, .executors = 4});
--- a/tests/platform/wire_test.cpp
+++ b/tests/platform/wire_test.cpp
@@ -3,6 +3,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "base/error_kind.h"
+#include "platform/advice_client.h"
 #include "platform/caller_interface.h"
 #include "platform/documents.h"
 #include "platform/executor_client.h"
@@ -17,7 +18,7 @@
   "listen-addrs":{"frontend":"127.0.0.1:1","ready":"127.0.0.1:2"},"port-range":[7000,7015],
   "limits":{"cpu-share":0.25,"memory-mb":260,"max-fds":4100,"new":1},
   "platform":{"address":"127.0.0.1:3"},
-  "bounds":{"hold-max-ms":6000,"stop-ms":200,"revoke-ms":5000,"grace-s":6,"status_s":120}})";
+  "bounds":{"hold-max-ms":6000,"stop-ms":200,"revoke-ms":5000,"grace-s":6,"status_s":120},"advice":"10.200.1.9:8524"})";
 
 call_result answer(int status, std::string body)
 {
@@ -42,6 +43,18 @@
     BOOST_TEST(settings.first_free_port == 7000);
     BOOST_TEST((settings.longest_lease == milliseconds(6'000)));
     BOOST_TEST((settings.stop_grace == milliseconds(6'000)));
+    BOOST_TEST((settings.job_state_time == milliseconds(120'000)));
+    BOOST_TEST(settings.advisor_address == "10.200.1.9:8524");
+}
+
+BOOST_AUTO_TEST_CASE(that_leave_out_a_usual_bound_or_the_advisor_are_completed)
+{
+    std::string text = without(settings_text, R"(,"grace-s":6,"status_s":120)");
+    text = without(text, R"(,"advice":"10.200.1.9:8524")");
+    const node_settings settings = parse_node_settings(text);
+    BOOST_TEST((settings.stop_grace == milliseconds(6'000)));
+    BOOST_TEST((settings.job_state_time == milliseconds(120'000)));
+    BOOST_TEST(settings.advisor_address.empty());
 }
 
 BOOST_AUTO_TEST_CASE(name_what_is_missing)
@@ -160,6 +173,7 @@
     BOOST_TEST((decode_order(answer(409, R"({"reason":"fence"})")).answer == executor_verdict::fenced));
     BOOST_TEST((decode_order(answer(409, R"({"reason":"room"})")).answer == executor_verdict::no_room));
     BOOST_TEST((decode_order(answer(409, R"({"reason":"late"})")).answer == executor_verdict::refused));
+    BOOST_TEST((decode_order(answer(409, R"({"reason":"ticket"})")).answer == executor_verdict::ticket_refused));
     BOOST_TEST((decode_order(answer(503, "")).answer == executor_verdict::refused));
     BOOST_TEST((decode_order(answer(421, "")).answer == executor_verdict::refused));
     BOOST_TEST((decode_order(answer(500, "")).answer == executor_verdict::unknown));
@@ -167,6 +181,14 @@
     BOOST_TEST((decode_order({call_outcome::not_sent, 0, ""}).answer == executor_verdict::unreachable));
 }
 
+BOOST_AUTO_TEST_CASE(leave_a_reason_for_the_log_whatever_went_wrong)
+{
+    for (const call_result& result :
+         {answer(409, "{"), answer(409, "{}"), answer(500, ""), answer(200, "{}"),
+          call_result{call_outcome::unknown, 0, ""}, call_result{call_outcome::not_sent, 0, ""}})
+        BOOST_TEST(!decode_look(result).reason.empty());
+}
+
 BOOST_AUTO_TEST_CASE(that_shed_a_stop_have_not_carried_it_out)
 {
     BOOST_TEST(is_stop_acknowledged(decode_order(answer(200, R"({"clock-ms":1})")).answer));
@@ -245,6 +267,28 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(the_advisor)
+
+BOOST_AUTO_TEST_CASE(names_executors_with_their_tickets)
+{
+    const auto advice = decode_advice(answer(200, R"({"good":[["e1","t1"],["e2","t2"]],"valid-ms":3000})"));
+    BOOST_REQUIRE(advice.has_value());
+    BOOST_REQUIRE(advice->tickets.size() == 2U);
+    BOOST_TEST(advice->tickets[1].executor == "e2");
+    BOOST_TEST(advice->tickets[1].text == "t2");
+    BOOST_TEST((advice->valid_for == milliseconds(3'000)));
+}
+
+BOOST_AUTO_TEST_CASE(that_is_busy_or_not_understood_has_turned_nobody_down)
+{
+    BOOST_TEST(!decode_advice(answer(429, "")).has_value());
+    BOOST_TEST(!decode_advice({call_outcome::unknown, 0, ""}).has_value());
+    BOOST_TEST(!decode_advice(answer(200, R"({"good":[["e1"]],"valid-ms":3000})")).has_value());
+    BOOST_TEST(!decode_advice(answer(200, R"({"good":[]})")).has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace wigeon::platform
--- a/tests/stand_ins/node_platform.cpp
+++ b/tests/stand_ins/node_platform.cpp
@@ -11,6 +11,7 @@
 #include <cstdlib>
 #include <iostream>
 #include <memory>
+#include <set>
 
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -141,6 +142,38 @@
         });
     }
 
+    // Only executors of even number may run what is advised.
+    static std::string make_ticket(const std::string& step, const std::string& executor)
+    {
+        const bool is_allowed = (executor.back() - '0') % 2 == 0;
+        return is_allowed ? "ticket-" + step + "-" + executor : "";
+    }
+
+    void serve_advice(const incoming_request& request, const reply_handler& reply)
+    {
+        const rapidjson::Document body = platform::parse_object(request.body);
+        const std::string step = platform::require_text(body, "step");
+        std::string rows;
+        for (const std::string& executor : platform::find_texts(body, "workers").value()) {
+            const std::string given = make_ticket(step, executor);
+            if (!given.empty())
+                rows += (rows.empty() ? "[\"" : ",[\"") + executor + "\",\"" + given + "\"]";
+        }
+        this->advised_steps.insert(step);
+        reply({200, R"({"good":[)" + rows + R"(],"valid-ms":1000})", 0});
+    }
+
+    // Whether a start of a step that was ever advised carries the ticket of its executor.
+    [[nodiscard]] bool has_ticket(const std::string& task, const std::string& executor,
+                                  const rapidjson::Document& body) const
+    {
+        const std::string step = task.substr(0, task.rfind('.'));
+        if (!this->advised_steps.contains(step))
+            return true;
+        const std::string expected = make_ticket(step, executor);
+        return !expected.empty() && platform::find_text(body, "ticket") == expected;
+    }
+
     void serve_store(const incoming_request& request, const reply_handler& reply)
     {
         const auto query = parse_query(request.target);
@@ -149,6 +182,8 @@
             this->fault = query.at("kind");
             reply({200, "{}", 0});
         }
+        else if (path == "/advise")
+            this->serve_advice(request, reply);
         else if (path == "/restart") {
             this->fleet.restart(query.at("executor"), boot_clock::now());
             reply({200, "{}", 0});
@@ -302,7 +337,9 @@
         order.task = platform::require_text(body, "task");
         order.target.run = static_cast<std::uint32_t>(platform::require_integer(body, "run"));
         order_result result;
-        if (request.target == "/run-start")
+        if (request.target == "/run-start" && !this->has_ticket(order.task, id, body))
+            result = {executor_verdict::ticket_refused, "ticket"};
+        else if (request.target == "/run-start")
             result = this->fleet.start(order, milliseconds(platform::require_integer(body, "deadline-ms")), token,
                                        boot_clock::now());
         else
@@ -359,6 +396,7 @@
     store_model store;
     fleet_model fleet;
     std::string fault = "none";
+    std::set<std::string> advised_steps;
     http_listener store_listener;
     std::vector<std::unique_ptr<http_listener>> executors;
     boost::asio::steady_timer beat_timer;
--- a/tests/support/node_cluster.cpp
+++ b/tests/support/node_cluster.cpp
@@ -170,7 +170,10 @@
          << this->port_of(node, metrics_port) << R"(],"limits":{"cpu-share":1,"memory-mb":260,"max-fds":4100},)"
          << R"("platform":{"address":")" << host << ":" << store
          << R"("},"bounds":{"hold-max-ms":6000,"stop-ms":200,"revoke-ms":5000,"grace-s":6,"status_s":)"
-         << this->options.job_state_s << "}}";
+         << this->options.job_state_s << "}";
+    if (this->options.has_advisor)
+        file << R"(,"advice":")" << host << ":" << this->store_port << "\"";
+    file << "}";
 }
 
 void node_cluster::start_node(int node)
--- a/tests/support/node_cluster.h
+++ b/tests/support/node_cluster.h
@@ -20,6 +20,7 @@
     int executors = 1;
     int job_state_s = 120;          // For which ended jobs must be known.
     bool has_proxy = false;         // All links run through the fault-injecting proxy.
+    bool has_advisor = true;        // Beside the store, on its port.
     bool keeps_connections = false; // Callers use one connection a node for as long as it stands.
 };
 
