--- a/tests/stand_ins/node_platform.cpp
+++ b/tests/stand_ins/node_platform.cpp
@@ -153,8 +153,9 @@
     {
         const rapidjson::Document body = platform::parse_object(request.body);
         const std::string step = platform::require_text(body, "step");
+        const auto executors = platform::find_texts(body, "workers").value();
         std::string rows;
-        for (const std::string& executor : platform::find_texts(body, "workers").value()) {
+        for (const std::string& executor : executors) {
             const std::string given = make_ticket(step, executor);
             if (!given.empty())
                 rows += (rows.empty() ? "[\"" : ",[\"") + executor + "\",\"" + given + "\"]";
