The leader's property also checks order of steps, attempts, cancellations and what jobs are shown as

Fail, cancel and heal were not played; the model of executors did not know of earlier steps or of attempts. Now both do, so the soak checks them, too.

--- a/tests/dispatch/leader_property_test.cpp
+++ b/tests/dispatch/leader_property_test.cpp
@@ -1,5 +1,6 @@
-// Whatever becomes of leaders, orders and answers: no task runs twice at once, none starts after a noted end, no
-// executor is overfilled, and in the end every job is done.
+// Whatever becomes of leaders, orders and answers: no task runs twice at once, none starts after a noted end, before the
+// steps that it waits for, after its last attempt or after its job was cancelled, no executor is overfilled, and in the
+// end every job has ended as it should.
 
 #include <queue>
 #include <random>
@@ -65,6 +66,12 @@
                 this->submit();
             if (this->draw(250) == 0)
                 this->replace_leader();
+            if (this->draw(150) == 0)
+                this->cancel();
+            if (this->draw(200) == 0)
+                this->fleet.make_executor_fail("e" + std::to_string(this->draw(8)));
+            if (this->draw(100) == 0)
+                this->fleet.heal_executor("e" + std::to_string(this->draw(8)));
             if (this->draw(200) == 0)
                 this->fleet.restart("e" + std::to_string(this->draw(8)), this->now);
             if (this->draw(150) == 0) {
@@ -74,14 +81,31 @@
             this->step();
         }
         this->is_troubled = false;
-        for (auto& [id, cut] : this->is_cut)
+        for (auto& [id, cut] : this->is_cut) {
             cut = false;
+            this->fleet.heal_executor(id);
+        }
         const boot_time end = this->now + calm_time;
         while (this->now < end)
             this->step();
     }
 
-    [[nodiscard]] const std::vector<std::string>& violations() const { return this->fleet.violations(); }
+    [[nodiscard]] std::vector<std::string> list_violations() const
+    {
+        std::vector<std::string> all = this->fleet.violations();
+        all.insert(all.end(), this->broken.begin(), this->broken.end());
+        for (const auto& [id, record] : this->progress) {
+            if (record.phase() == records::JOB_PHASE_COMPLETED && !this->fleet.is_all_done(id))
+                all.push_back("completed, but not done: " + id);
+            if (record.phase() == records::JOB_PHASE_FAILED && !this->fleet.has_used_up_attempts(id))
+                all.push_back("failed without cause: " + id);
+            if (record.phase() == records::JOB_PHASE_CANCELLED && !this->cancelled_at.contains(id))
+                all.push_back("cancelled by nobody: " + id);
+        }
+        if (this->fleet.count_running() > 0)
+            all.push_back("a task still runs");
+        return all;
+    }
 
     [[nodiscard]] std::size_t count_open_jobs() const
     {
@@ -142,6 +166,15 @@
             this->chief->add_job(id, submission, {}, 0, this->now);
     }
 
+    void cancel()
+    {
+        if (this->accepted.empty())
+            return;
+        const std::string id = this->accepted[this->draw(static_cast<std::uint32_t>(this->accepted.size()))];
+        this->cancelled_at.try_emplace(id, this->now);
+        this->chief->cancel_job(id, this->now);
+    }
+
     void lead()
     {
         ++this->term;
@@ -151,6 +184,8 @@
             this->chief->update_executor(entry, this->now);
         for (const std::string& id : this->accepted)
             this->chief->add_job(id, this->submissions[id], this->progress[id], 0, this->now);
+        for (const auto& [id, when] : this->cancelled_at)
+            this->chief->cancel_job(id, this->now);
         this->is_append_open = false;
         this->is_looking.clear();
     }
@@ -252,6 +287,8 @@
 
     void start(const start_order& order)
     {
+        if (this->cancelled_at.contains(order.target.job))
+            this->broken.push_back("order to start a task of a cancelled job: " + order.task);
         executor& host = *this->chief->executors().find(order.executor);
         const milliseconds deadline = this->chief->executors().extend_lease(host, this->now);
         const std::uint64_t sender = this->term;
@@ -311,6 +348,8 @@
     std::map<std::string, records::Submission> submissions;
     std::map<std::string, records::JobProgress> progress; // The store: what was appended.
     std::vector<std::string> accepted;
+    std::map<std::string, boot_time> cancelled_at;
+    std::vector<std::string> broken;
     std::priority_queue<event> events;
     std::uint64_t event_count = 0;
     bool is_append_open = false;
@@ -326,9 +365,10 @@
     test::check_property("troubled day", [](std::uint64_t seed) {
         troubled_day day(seed);
         day.play();
-        for (const std::string& violation : day.violations())
+        const std::vector<std::string> violations = day.list_violations();
+        for (const std::string& violation : violations)
             BOOST_TEST_MESSAGE("seed " << seed << ": " << violation);
-        RC_ASSERT(day.violations().empty());
+        RC_ASSERT(violations.empty());
         RC_ASSERT(day.count_open_jobs() == 0U);
     });
 }
--- a/tests/models/fleet_model.cpp
+++ b/tests/models/fleet_model.cpp
@@ -78,7 +78,11 @@
     if (request.lease_deadline)
         this->extend(host, *request.lease_deadline, now);
     for (const ended_task& ended : host.ended) {
-        if (ended.number > request.last_end_noted || ended.ending != run_ending::done)
+        if (ended.number > request.last_end_noted)
+            continue;
+        if (ended.ending == run_ending::failed)
+            ++this->noted_failed[ended.task];
+        if (ended.ending != run_ending::done)
             continue;
         for (const std::string& member : this->list_members(ended.task))
             this->noted_done.insert(member);
@@ -135,6 +139,8 @@
     }
     if (this->noted_done.contains(order.task))
         this->broken.push_back("start after a noted end of " + order.task);
+    this->check_order(order.task, *step);
+    this->check_budget(order.task);
     run_state run;
     run.run = order.target.run;
     run.started = now;
@@ -146,6 +152,61 @@
     return {executor_verdict::accepted, ""};
 }
 
+bool fleet_model::is_step_done(const std::string& job, std::uint32_t occurrence, std::uint32_t row) const
+{
+    const records::Step& step = this->jobs.at(job).steps(static_cast<int>(row));
+    for (std::uint32_t index = 0; index < std::max(1U, step.count()); ++index) {
+        if (!this->done_by_task.contains(make_task_name(job, {occurrence, row, index})))
+            return false;
+    }
+    return true;
+}
+
+void fleet_model::check_order(const std::string& task, const records::Step& step)
+{
+    const auto name = parse_task_name(task);
+    for (const std::uint32_t earlier : step.after()) {
+        if (!this->is_step_done(name->job, name->place.occurrence, earlier))
+            this->broken.push_back("start before an earlier step was done: " + task);
+    }
+}
+
+// A gang fails as one, whichever of its members did.
+std::uint32_t fleet_model::count_failures(const std::string& task,
+                                          const std::map<std::string, std::uint32_t>& counts) const
+{
+    std::uint32_t sum = 0;
+    for (const std::string& member : this->list_members(task)) {
+        const auto found = counts.find(member);
+        sum += found == counts.end() ? 0 : found->second;
+    }
+    return sum;
+}
+
+void fleet_model::check_budget(const std::string& task)
+{
+    if (this->count_failures(task, this->noted_failed) >= this->bounds.max_attempts)
+        this->broken.push_back("start after the last attempt of " + task);
+}
+
+bool fleet_model::is_all_done(const std::string& job) const
+{
+    const auto steps = static_cast<std::uint32_t>(this->jobs.at(job).steps_size());
+    for (std::uint32_t row = 0; row < steps; ++row) {
+        if (!this->is_step_done(job, 0, row))
+            return false;
+    }
+    return true;
+}
+
+bool fleet_model::has_used_up_attempts(const std::string& job) const
+{
+    return std::any_of(this->failed_by_task.begin(), this->failed_by_task.end(), [&](const auto& entry) {
+        return parse_task_name(entry.first)->job == job &&
+               this->count_failures(entry.first, this->failed_by_task) >= this->bounds.max_attempts;
+    });
+}
+
 order_result fleet_model::stop(const stop_order& order, std::uint64_t token, boot_time now)
 {
     this->advance(now);
@@ -175,6 +236,8 @@
     highest = std::max(highest, run.run);
     if (ending == run_ending::done)
         ++this->done_by_task[task];
+    if (ending == run_ending::failed)
+        ++this->failed_by_task[task];
     if (ending == run_ending::done || ending == run_ending::partner_lost)
         return;
     for (const std::string& member : this->list_members(task)) {
--- a/tests/models/fleet_model.h
+++ b/tests/models/fleet_model.h
@@ -18,7 +18,8 @@
 
 struct fleet_bounds {
     milliseconds longest_lease{6'000};
-    milliseconds gang_wait{3'000}; // For which a member waits for the others.
+    milliseconds gang_wait{3'000};  // For which a member waits for the others.
+    std::uint32_t max_attempts = 3; // Failed runs after which a task must not be started again.
 };
 
 class fleet_model {
@@ -34,6 +35,11 @@
     // Every run of this task fails at its end, or of every task on this executor.
     void make_task_fail(const std::string& task) { this->failing_tasks.insert(task); }
     void make_executor_fail(const std::string& id) { this->failing_executors.insert(id); }
+    void heal_executor(const std::string& id) { this->failing_executors.erase(id); }
+
+    // Whether all tasks of the job have ended done, and whether one, or a gang, has failed as often as it may.
+    [[nodiscard]] bool is_all_done(const std::string& job) const;
+    [[nodiscard]] bool has_used_up_attempts(const std::string& job) const;
 
     look_result look(const std::string& id, const look_request& request, boot_time now);
     order_result start(const start_order& order, milliseconds deadline, std::uint64_t token, boot_time now);
@@ -86,6 +92,11 @@
     [[nodiscard]] const records::Step* find_step(const std::string& task) const;
     [[nodiscard]] std::vector<std::string> list_members(const std::string& task) const;
     [[nodiscard]] std::uint32_t find_percent(const std::string& task, const run_state& run, boot_time now) const;
+    void check_order(const std::string& task, const records::Step& step);
+    void check_budget(const std::string& task);
+    [[nodiscard]] bool is_step_done(const std::string& job, std::uint32_t occurrence, std::uint32_t row) const;
+    [[nodiscard]] std::uint32_t count_failures(const std::string& task,
+                                               const std::map<std::string, std::uint32_t>& counts) const;
     host_state* find_host_of(const std::string& task, std::uint32_t run);
 
     fleet_bounds bounds;
@@ -94,6 +105,8 @@
     std::set<std::string> failing_tasks;
     std::set<std::string> failing_executors;
     std::set<std::string> noted_done;                  // Tasks whose end `done` was taken note of.
+    std::map<std::string, std::uint32_t> noted_failed; // Ends `failed` that were taken note of, by task.
+    std::map<std::string, std::uint32_t> failed_by_task;
     std::map<std::string, std::uint32_t> done_by_task; // Ends `done`, of any run.
     std::vector<std::string> broken;
     std::set<std::string> jobs_started;
