--- a/libraries/dispatch/room_maker.cpp
+++ b/libraries/dispatch/room_maker.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <string>
+#include <utility>
 
 namespace wigeon {
 
@@ -133,21 +134,23 @@
         return;
     if (part.room_tried_at && now - *part.room_tried_at < make_room_pause)
         return;
-    part.room_tried_at = now;
+    // Said once while the unit waits, not each time that it is tried.
+    const bool is_news = !std::exchange(part.room_tried_at, now).has_value();
     if (!this->planner)
         this->list_stoppable(now);
     this->allow_stops_for(waiting);
     const auto plan = this->planner->plan(need, present);
     if (!plan) {
-        if (is_urgent)
+        if (is_urgent && is_news)
             this->events.add("no_room", job.id, "rank=" + std::string(to_string(waiting.rank)));
         return;
     }
     const double own_work = measure_cores(need.each) * static_cast<double>(need.count) *
                             to_seconds(milliseconds(job.step_of(part).estimate_ms()));
     if (waiting.rank == work_rank::urgent && plan->cost > own_work * most_lost_work) {
-        this->events.add("stops_not_worth_it", job.id,
-                         "lost=" + std::to_string(plan->cost) + " own=" + std::to_string(own_work));
+        if (is_news)
+            this->events.add("stops_not_worth_it", job.id,
+                             "lost=" + std::to_string(plan->cost) + " own=" + std::to_string(own_work));
         return;
     }
     this->stop_victims(waiting, *plan, now);
--- a/libraries/dispatch/run_ledger.cpp
+++ b/libraries/dispatch/run_ledger.cpp
@@ -133,6 +133,7 @@
     ++part.run;
     part.placed_at = now;
     part.reserved_on.clear();
+    part.room_tried_at.reset();
     std::erase(job.steps[part.step_run].waiting, unit_row);
     const resources need = find_need(job.step_of(part));
     for (const std::string& id : executors) {
--- a/tests/dispatch/dispatcher_test.cpp
+++ b/tests/dispatch/dispatcher_test.cpp
@@ -1,5 +1,7 @@
 // Whole rounds of decisions on small fleets.
 
+#include <algorithm>
+
 #include <boost/test/unit_test.hpp>
 
 #include "dispatch/dispatcher.h"
@@ -126,6 +128,19 @@
     BOOST_TEST(this->work.collect_stops(this->now).empty());
 }
 
+// The log is for decisions; trying again is none.
+BOOST_FIXTURE_TEST_CASE(that_there_is_no_room_is_said_once_while_a_unit_waits, fleet_fixture)
+{
+    this->add("q2", 4, 8, false);
+    this->decide();
+    const std::string late = this->add("q0", 1, 8, false);
+    this->work.runs().find(late)->arrived = this->now - milliseconds(60'000);
+    this->pass(2'000);
+    const auto events = this->work.take_events();
+    BOOST_TEST(std::count_if(events.begin(), events.end(),
+                             [](const dispatch_event& event) { return event.name == "no_room"; }) == 1);
+}
+
 BOOST_FIXTURE_TEST_CASE(an_executor_that_drains_gets_nothing_new, fleet_fixture)
 {
     for (int row = 0; row < 4; ++row) {
--- a/tests/dispatch/leader_property_test.cpp
+++ b/tests/dispatch/leader_property_test.cpp
@@ -1,6 +1,6 @@
-// Whatever becomes of leaders, orders and answers: no task runs twice at once, none starts after a noted end, before the
-// steps that it waits for, after its last attempt or after its job was cancelled, no executor is overfilled, and in the
-// end every job has ended as it should.
+// Whatever becomes of leaders, orders and answers: no task runs twice at once, none starts after a noted end, before
+// the steps that it waits for, after its last attempt or after its job was cancelled, no executor is overfilled, and in
+// the end every job has ended as it should.
 
 #include <queue>
 #include <random>
