--- a/tests/integration/node_soak_test.cpp
+++ b/tests/integration/node_soak_test.cpp
@@ -3,7 +3,8 @@
 // drawn from a seed. Half of the executors' clocks are slow. Meanwhile callers hand in jobs over connections that they
 // keep, and resend what had no answer.
 //
-// WIGEON_SOAK_SEEDS names the seeds ("1,2,3"), WIGEON_SOAK_SECONDS how long the trouble lasts.
+// WIGEON_SOAK_SEEDS names the seeds ("1,2,3"), WIGEON_SOAK_SECONDS how long the trouble lasts, WIGEON_SOAK_NODES and
+// WIGEON_SOAK_EXECUTORS the size of the system.
 
 #include <array>
 #include <csignal>
@@ -20,8 +21,8 @@
 
 namespace {
 
-constexpr int node_count = 4;
-constexpr int executor_count = 6;
+constexpr const char* usual_nodes = "4";
+constexpr const char* usual_executors = "6";
 constexpr milliseconds settle_limit{90'000};
 
 // Seeds that CI plays, and those that ever failed:
@@ -39,10 +40,12 @@
 
 class soak {
 public:
-    explicit soak(std::uint64_t seed)
+    soak(std::uint64_t seed, int nodes, int executors)
         : random(seed),
-          system({.nodes = node_count, .executors = executor_count, .has_proxy = true, .keeps_connections = true}),
-          is_paused(node_count, false)
+          node_count(nodes),
+          executor_count(executors),
+          system({.nodes = nodes, .executors = executors, .has_proxy = true, .keeps_connections = true}),
+          is_paused(static_cast<std::size_t>(nodes), false)
     {
     }
 
@@ -88,9 +91,11 @@
         return std::uniform_int_distribution<std::uint32_t>(0, limit - 1)(this->random);
     }
 
+    int draw_index(int count) { return static_cast<int>(this->draw(static_cast<std::uint32_t>(count))); }
+
     void disturb()
     {
-        const int node = static_cast<int>(this->draw(node_count));
+        const int node = this->draw_index(this->node_count);
         const auto index = static_cast<std::size_t>(node);
         const std::uint32_t kind = this->draw(12);
         BOOST_TEST_MESSAGE("at " << (boot_clock::now() - this->begun).count() << " ms: disturbance " << kind
@@ -127,7 +132,7 @@
             this->disturb_link();
             break;
         case 7: {
-            const int executor = static_cast<int>(this->draw(executor_count));
+            const int executor = this->draw_index(this->executor_count);
             BOOST_TEST_MESSAGE("executor " << executor << " crashes");
             this->system.restart_executor(executor);
             break;
@@ -147,8 +152,8 @@
                                                     "drop_answer", "delay:150", "silence"};
         constexpr std::array<proxied_link, 3> links{proxied_link::store, proxied_link::executor, proxied_link::callers};
         const proxied_link link = links[this->draw(3)];
-        const int ends = link == proxied_link::executor ? executor_count : node_count;
-        const int index = static_cast<int>(this->draw(static_cast<std::uint32_t>(ends)));
+        const int ends = link == proxied_link::executor ? this->executor_count : this->node_count;
+        const int index = this->draw_index(ends);
         const char* fault = faults[this->draw(7)];
         BOOST_TEST_MESSAGE("link " << static_cast<int>(link) << " " << index << ": " << fault);
         this->system.set_link_fault(link, index, fault);
@@ -166,7 +171,7 @@
         const std::string job = std::string(16 - digits.size(), '0') + digits;
         int outcome = 0;
         for (int attempt = 0; attempt < 3 && outcome != 200; ++attempt) {
-            const int node = static_cast<int>(this->draw(node_count));
+            const int node = this->draw_index(this->node_count);
             if (this->is_paused[static_cast<std::size_t>(node)])
                 continue;
             const int status = this->system.submit(node, job, "batch", steps);
@@ -183,13 +188,15 @@
     {
         this->system.set_store_fault("none");
         this->system.clear_link_faults();
-        for (int node = 0; node < node_count; ++node) {
+        for (int node = 0; node < this->node_count; ++node) {
             if (this->is_paused[static_cast<std::size_t>(node)])
                 this->system.signal_node(node, SIGCONT);
         }
     }
 
     std::mt19937_64 random;
+    const int node_count;
+    const int executor_count;
     boot_time begun = boot_clock::now();
     node_cluster system;
     std::vector<bool> is_paused;
@@ -204,11 +211,13 @@
 BOOST_AUTO_TEST_CASE(no_accepted_job_is_lost_and_none_runs_twice)
 {
     const int seconds = std::stoi(read_setting("WIGEON_SOAK_SECONDS", "8"));
+    const int nodes = std::stoi(read_setting("WIGEON_SOAK_NODES", usual_nodes));
+    const int executors = std::stoi(read_setting("WIGEON_SOAK_EXECUTORS", usual_executors));
     std::uint64_t starts = 0;
     for (const std::string& seed : split_list(read_setting("WIGEON_SOAK_SEEDS", kept_seeds), ',')) {
         BOOST_TEST_CONTEXT("seed " << seed)
         {
-            soak played(std::stoull(seed));
+            soak played(std::stoull(seed), nodes, executors);
             played.play(std::chrono::seconds(seconds));
             starts += played.check();
         }
