--- a/libraries/dispatch/dispatcher.cpp
+++ b/libraries/dispatch/dispatcher.cpp
@@ -124,6 +124,8 @@
     // Elsewhere the work takes several times as long; waiting for as long as the work itself costs less.
     need.may_leave_data_rack = now - part.waiting_since > milliseconds(step.estimate_ms());
     need.per_executor = step.tasks_per_executor();
+    need.is_filling = step.filling();
+    need.is_serving = step.tail_target_ms() > 0;
     return need;
 }
 
@@ -133,8 +135,8 @@
     return std::any_of(this->failed_needs.begin(), this->failed_needs.end(), [&need](const placement_need& failed) {
         return failed.pool == need.pool && failed.same_rack == need.same_rack &&
                failed.required_label == need.required_label && failed.data_rack == need.data_rack &&
-               failed.may_leave_data_rack == need.may_leave_data_rack && failed.count <= need.count &&
-               failed.each.fits_in(need.each);
+               failed.may_leave_data_rack == need.may_leave_data_rack && failed.is_filling == need.is_filling &&
+               failed.is_serving == need.is_serving && failed.count <= need.count && failed.each.fits_in(need.each);
     });
 }
 
@@ -169,7 +171,7 @@
     }
     std::vector<std::string> executors;
     for (const std::size_t row : *places) {
-        this->slots.take(row, need.each);
+        this->slots.take(row, need);
         executors.emplace_back(this->slots.all()[row].executor);
     }
     this->ledger.place(job, unit_row, executors, now);
@@ -259,6 +261,7 @@
     }
     this->work.count_demand(this->ledger, this->policy);
     this->slots.build(this->book, this->bounds.look_age, now);
+    this->slots.note_sharing(this->ledger);
     this->failed_needs.clear();
     this->advice.begin_round();
     this->room.begin_round();
--- a/libraries/dispatch/placement.cpp
+++ b/libraries/dispatch/placement.cpp
@@ -90,6 +90,8 @@
 {
     if (!place.is_permitted || place.is_distrusted || place.is_avoided || place.pool != need.pool)
         return false;
+    if ((need.is_filling && place.has_serving) || (need.is_serving && place.has_filling))
+        return false;
     if (!need.required_label.empty() &&
         std::find(place.labels.begin(), place.labels.end(), need.required_label) == place.labels.end())
         return false;
--- a/libraries/dispatch/placement.h
+++ b/libraries/dispatch/placement.h
@@ -25,6 +25,8 @@
     bool is_distrusted = false; // Gets no new task for now.
     bool is_avoided = false;    // The unit that is being placed failed there.
     bool is_permitted = true;   // The unit that is being placed may run there at all.
+    bool has_filling = false;   // A task runs there that takes what others leave unused.
+    bool has_serving = false;   // A task runs there whose users' response times have a target.
 };
 
 struct placement_need {
@@ -35,7 +37,9 @@
     std::string_view required_label;
     std::string_view data_rack;
     bool may_leave_data_rack = false; // Far from its data it runs several times as long.
-    std::uint32_t per_executor = 0;   // At most this many tasks on one executor; 0: no bound.
+    bool is_filling = false;          // Not beside serving tasks: how much it disturbs them is not known beforehand.
+    bool is_serving = false;
+    std::uint32_t per_executor = 0; // At most this many tasks on one executor; 0: no bound.
 };
 
 // Tasks of the same step that an executor has already.
--- a/libraries/dispatch/slot_table.cpp
+++ b/libraries/dispatch/slot_table.cpp
@@ -6,6 +6,15 @@
 
 namespace wigeon {
 
+namespace {
+
+bool is_sharing(const records::Step& step)
+{
+    return step.filling() || step.tail_target_ms() > 0;
+}
+
+} // namespace
+
 void slot_table::build(const executor_book& book, milliseconds look_age, boot_time now)
 {
     std::size_t distrusted = 0;
@@ -41,11 +50,40 @@
     return found == this->rows.end() ? std::nullopt : std::optional(found->second);
 }
 
+void slot_table::note_sharing(const run_ledger& ledger)
+{
+    for (const auto& [id, job] : ledger.jobs()) {
+        const auto& steps = job.submission.steps();
+        if (job.unresolved == 0 || std::none_of(steps.begin(), steps.end(), is_sharing))
+            continue;
+        for (const unit& part : job.units) {
+            const records::Step& step = job.step_of(part);
+            if (!is_sharing(step))
+                continue;
+            for (const placed_task& task : part.members) {
+                const auto row = this->find_row(task.executor);
+                if (!row || task.phase == member_phase::resolved)
+                    continue;
+                this->slots[*row].has_filling = this->slots[*row].has_filling || step.filling();
+                this->slots[*row].has_serving = this->slots[*row].has_serving || step.tail_target_ms() > 0;
+            }
+        }
+    }
+}
+
+void slot_table::take(std::size_t row, const placement_need& need)
+{
+    slot& place = this->slots[row];
+    place.free -= need.each;
+    place.has_filling = place.has_filling || need.is_filling;
+    place.has_serving = place.has_serving || need.is_serving;
+}
+
 void slot_table::keep(std::span<const std::string> executors, const resources& each)
 {
     for (const std::string& id : executors) {
         if (const auto row = this->find_row(id))
-            this->take(*row, each);
+            this->slots[*row].free -= each;
     }
 }
 
--- a/libraries/dispatch/slot_table.h
+++ b/libraries/dispatch/slot_table.h
@@ -14,6 +14,7 @@
 #include "dispatch/executor_book.h"
 #include "dispatch/job_run.h"
 #include "dispatch/placement.h"
+#include "dispatch/run_ledger.h"
 
 namespace wigeon {
 
@@ -25,7 +26,11 @@
     [[nodiscard]] std::span<const slot> all() const { return this->slots; }
     [[nodiscard]] std::optional<std::size_t> find_row(std::string_view executor) const;
 
-    void take(std::size_t row, const resources& each) { this->slots[row].free -= each; }
+    // Marks where tasks run that fill or serve.
+    void note_sharing(const run_ledger& ledger);
+
+    // One task of the need is placed there.
+    void take(std::size_t row, const placement_need& need);
 
     // Keeps room for one task on each of these executors, as far as they are listed.
     void keep(std::span<const std::string> executors, const resources& each);
--- a/tests/dispatch/dispatcher_test.cpp
+++ b/tests/dispatch/dispatcher_test.cpp
@@ -1,6 +1,7 @@
 // Whole rounds of decisions on small fleets.
 
 #include <algorithm>
+#include <set>
 
 #include <boost/test/unit_test.hpp>
 
@@ -141,6 +142,41 @@
                              [](const dispatch_event& event) { return event.name == "no_room"; }) == 1);
 }
 
+// How much a filling task disturbs is known only while it does.
+BOOST_FIXTURE_TEST_CASE(tasks_that_fill_and_tasks_that_serve_keep_apart, fleet_fixture)
+{
+    const auto add_sharing = [this](const std::string& id, std::uint32_t tasks, bool is_filling) {
+        records::Submission submission;
+        submission.set_queue("q1");
+        records::Step& step = *submission.add_steps();
+        step.set_count(tasks);
+        step.set_cpu_millicores(1'000);
+        step.set_estimate_ms(8'000);
+        step.set_filling(is_filling);
+        step.set_tail_target_ms(is_filling ? 0 : 50);
+        this->work.add_job(id, submission, {}, 0, this->now);
+    };
+    const auto list_executors = [this](const std::string& id) {
+        std::set<std::string> executors;
+        for (const unit& part : this->work.runs().find(id)->units) {
+            for (const placed_task& task : part.members)
+                executors.insert(task.executor);
+        }
+        return executors;
+    };
+    add_sharing("serving", 2, false);
+    this->decide(); // In another round than what comes after.
+    add_sharing("filling", 300, true);
+    add_sharing("serving2", 300, false);
+    this->decide();
+    const auto filled = list_executors("filling");
+    BOOST_TEST(!filled.empty());
+    for (const char* id : {"serving", "serving2"}) {
+        for (const std::string& executor : list_executors(id))
+            BOOST_TEST(!filled.contains(executor), executor << " has both kinds");
+    }
+}
+
 BOOST_FIXTURE_TEST_CASE(an_executor_that_drains_gets_nothing_new, fleet_fixture)
 {
     for (int row = 0; row < 4; ++row) {
--- a/tests/integration/node_soak_test.cpp
+++ b/tests/integration/node_soak_test.cpp
@@ -24,13 +24,15 @@
 constexpr const char* usual_nodes = "4";
 constexpr const char* usual_executors = "6";
 constexpr milliseconds settle_limit{90'000};
+constexpr int status_accepted = 200;
+constexpr const char* one_task = R"({"count":1,"cpu":1000,"mem-mb":100,"gpu":1,"estimate-ms":200})";
 
 // Seeds that CI plays, and those that ever failed:
-// 118: no task was started. The store was mute until 4.5 s, then mute and refusing again 0.6 s later, so that no job
-// was accepted.
-// 118, 312: a look that told a new life of an executor to forget the ends of the former one; a task ran again after its
-// end. 308: a start that a new life had carried out was taken as lost with the former life; two runs at once.
-constexpr const char* kept_seeds = "1,2,118,308,312";
+// 118, 609, 632: no task was started, since the store was mute nearly all the time and no job was accepted. Since then
+// one more job is handed in when all is calm, and must be done. 118, 312: a look that told a new life of an executor to
+// forget the ends of the former one; a task ran again after its end. 308: a start that a new life had carried out was
+// taken as lost with the former life; two runs at once.
+constexpr const char* kept_seeds = "1,2,118,308,312,609";
 
 std::string read_setting(const char* name, const char* fallback)
 {
@@ -59,10 +61,10 @@
             std::this_thread::sleep_for(milliseconds(this->draw(200)));
         }
         this->calm();
+        this->serve_one_more();
     }
 
-    // Returns how many tasks were started.
-    std::uint64_t check()
+    void check()
     {
         for (const auto& [job, outcome] : this->outcomes) {
             if (outcome == 200)
@@ -82,7 +84,6 @@
         for (const auto& [outcome, count] : counts)
             told += " " + std::to_string(outcome) + ": " + std::to_string(count);
         BOOST_TEST_MESSAGE(this->outcomes.size() << " jobs, " << report.starts << " starts;" << told);
-        return report.starts;
     }
 
 private:
@@ -191,9 +192,24 @@
         for (int node = 0; node < this->node_count; ++node) {
             if (this->is_paused[static_cast<std::size_t>(node)])
                 this->system.signal_node(node, SIGCONT);
+            this->is_paused[static_cast<std::size_t>(node)] = false;
         }
     }
 
+    // Whatever has happened, callers are served again.
+    void serve_one_more()
+    {
+        const auto end = boot_clock::now() + settle_limit;
+        const std::string job = "ffffffffffffffff";
+        int status = 0;
+        while (status != status_accepted && boot_clock::now() < end) {
+            status = this->system.submit(this->draw_index(this->node_count), job, "batch", one_task);
+            std::this_thread::sleep_for(milliseconds(50));
+        }
+        BOOST_TEST(status == status_accepted, "no job is accepted after the trouble");
+        this->outcomes[job] = status;
+    }
+
     std::mt19937_64 random;
     const int node_count;
     const int executor_count;
@@ -213,17 +229,14 @@
     const int seconds = std::stoi(read_setting("WIGEON_SOAK_SECONDS", "8"));
     const int nodes = std::stoi(read_setting("WIGEON_SOAK_NODES", usual_nodes));
     const int executors = std::stoi(read_setting("WIGEON_SOAK_EXECUTORS", usual_executors));
-    std::uint64_t starts = 0;
     for (const std::string& seed : split_list(read_setting("WIGEON_SOAK_SEEDS", kept_seeds), ',')) {
         BOOST_TEST_CONTEXT("seed " << seed)
         {
             soak played(std::stoull(seed), nodes, executors);
             played.play(std::chrono::seconds(seconds));
-            starts += played.check();
+            played.check();
         }
     }
-    // The store may refuse everything in the whole time of one seed, but not in all of them.
-    BOOST_TEST(starts > 0U);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
