--- a/services/node/main.cpp
+++ b/services/node/main.cpp
@@ -1,5 +1,6 @@
 // wigeon-node: the scheduler on one entry host of the users' platform.
 
+#include <algorithm>
 #include <csignal>
 #include <cstdlib>
 #include <iostream>
@@ -29,6 +30,8 @@
 DEFINE_string(settings, "", "settings file; the environment variable WIGEONCOURSE_NODE_FILE names it by default");
 DEFINE_int32(metrics_port, 0, "port of /metrics on the node's address; 0: the first free port of the settings");
 DEFINE_string(log_format, "json", "json or key=value");
+DEFINE_int32(job_retention_s, 3'600,
+             "seconds for which ended jobs stay known; at least twice as long as the settings let callers ask");
 
 namespace wigeon {
 
@@ -84,7 +87,8 @@
                                         : reserved_descriptors;
     options.caller_limits = {header_byte_limit, body_byte_limit, connections, caller_idle_timeout};
     options.leading.bounds = {settings.longest_lease, settings.stop_time, oldest_look};
-    options.leading.job_retention = settings.job_state_time * job_retention_factor;
+    options.leading.job_retention = std::max<milliseconds>(settings.job_state_time * job_retention_factor,
+                                                           std::chrono::seconds(FLAGS_job_retention_s));
     options.callers.longest_unproven = settings.revocation_limit - revocation_margin;
     const milliseconds spread(static_cast<std::int64_t>(options.leading.identity.incarnation %
                                                         static_cast<std::uint64_t>(claim_spread.count())));
@@ -157,6 +161,8 @@
 
 void run()
 {
+    if (FLAGS_job_retention_s < 0)
+        throw error(error_kind::malformed_request, "--job_retention_s must not be negative");
     const std::string path = find_settings_path();
     const platform::node_settings settings = platform::read_node_settings(path);
     boost::asio::io_context loop(1);
--- a/tests/integration/node_test.cpp
+++ b/tests/integration/node_test.cpp
@@ -130,7 +130,7 @@
 
 BOOST_AUTO_TEST_CASE(jobs_that_ended_long_ago_leave_the_store_and_never_run_again)
 {
-    node_cluster system({.nodes = 2, .executors = 2, .job_state_s = 1});
+    node_cluster system({.nodes = 2, .executors = 2, .job_state_s = 1, .job_retention_s = 0});
     BOOST_TEST(system.submit(0, make_id(1), "batch", gang_and_tasks) == 200);
     BOOST_TEST(system.submit(0, make_id(2), "batch", long_task) == 200);
     BOOST_TEST(system.wait_for_state(make_id(1), "batch", "completed", patience));
--- a/tests/support/node_cluster.cpp
+++ b/tests/support/node_cluster.cpp
@@ -180,7 +180,9 @@
 {
     const std::string name = "node" + std::to_string(node);
     this->nodes[static_cast<std::size_t>(node)] =
-        process(this->folder, name, {find_program("wigeon-node"), "--settings=" + this->folder + "/" + name + ".json"});
+        process(this->folder, name,
+                {find_program("wigeon-node"), "--settings=" + this->folder + "/" + name + ".json",
+                 "--job_retention_s=" + std::to_string(this->options.job_retention_s)});
 }
 
 void node_cluster::signal_node(int node, int number)
--- a/tests/support/node_cluster.h
+++ b/tests/support/node_cluster.h
@@ -18,7 +18,8 @@
 struct cluster_options {
     int nodes = 1;
     int executors = 1;
-    int job_state_s = 120;          // For which ended jobs must be known.
+    int job_state_s = 120;          // For which the settings let callers ask for ended jobs.
+    int job_retention_s = 3'600;    // For which a node's flag lets it keep them.
     bool has_proxy = false;         // All links run through the fault-injecting proxy.
     bool has_advisor = true;        // Beside the store, on its port.
     bool keeps_connections = false; // Callers use one connection a node for as long as it stands.
