--- a/libraries/dispatch/dispatcher.cpp
+++ b/libraries/dispatch/dispatcher.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <utility>
 
 #include "jobs/job_table.h"
 
@@ -275,24 +276,77 @@
         this->place_step(waiting, now);
 }
 
-dispatch_changes dispatcher::collect_changes()
+// Returns false when changed jobs are left for the next append.
+bool dispatcher::collect_job_records(dispatch_changes& changes)
 {
-    dispatch_changes changes;
     std::size_t bytes = 0;
-    bool is_complete = true;
     for (auto& [id, job] : this->tracker.jobs()) {
-        if (!job.is_changed)
+        if (!job.is_changed())
             continue;
-        if (bytes > append_byte_limit) {
-            is_complete = false;
-            break;
-        }
+        if (bytes > append_byte_limit)
+            return false;
         changes.records.push_back({id, job.make_record()});
         bytes += changes.records.back().progress.ByteSizeLong();
         job.collect_planned_starts(changes.starts);
-        job.is_changed = false;
+        job.take_changes();
+    }
+    return true;
+}
+
+// Returns false when changed units are left for the next append.
+bool dispatcher::collect_unit_records(dispatch_changes& changes)
+{
+    std::size_t bytes = 0;
+    for (auto& [id, job] : this->tracker.jobs()) {
+        if (!job.is_changed())
+            continue;
+        if (std::exchange(job.is_phase_changed, false))
+            changes.phases.push_back({id, job.phase});
+        if (is_final(job.phase))
+            this->remove_unit_records(job, changes);
+        else if (!this->collect_units_of(job, changes, bytes))
+            return false;
+    }
+    return true;
+}
+
+bool dispatcher::collect_units_of(job_run& job, dispatch_changes& changes, std::size_t& bytes)
+{
+    while (!job.changed_units.empty()) {
+        if (bytes > append_byte_limit)
+            return false;
+        work_unit& unit = job.units[job.changed_units.back()];
+        job.changed_units.pop_back();
+        unit.is_changed = false;
+        unit.is_recorded = true;
+        changes.units.push_back({job.make_unit_key(unit), job.make_unit_record(unit)});
+        bytes += changes.units.back().key.size() + changes.units.back().content->ByteSizeLong();
+        job.collect_planned_starts(unit, changes.starts);
+    }
+    return true;
+}
+
+// Once the end of a job is stored, its units need no record, unless their tasks may still run: a later leader stops
+// those. Before that, the units stay as they were recorded.
+void dispatcher::remove_unit_records(job_run& job, dispatch_changes& changes)
+{
+    if (!job.is_end_stored)
+        return;
+    for (const std::uint32_t row : job.take_changes()) {
+        work_unit& unit = job.units[row];
+        if (unit.is_recorded && unit.placed_tasks.empty()) {
+            unit.is_recorded = false;
+            changes.units.push_back({job.make_unit_key(unit), std::nullopt});
+        }
     }
-    // An end may have changed a job whose record is left for the next append, so no end is recorded yet.
+}
+
+dispatch_changes dispatcher::collect_changes()
+{
+    dispatch_changes changes;
+    const bool is_complete = this->format == progress_format::per_job ? this->collect_job_records(changes)
+                                                                      : this->collect_unit_records(changes);
+    // An end may have changed a unit whose record is left for the next append, so no end is recorded yet.
     if (!is_complete)
         return changes;
     for (const auto& [id, target] : this->registry.all()) {
@@ -302,6 +356,20 @@
     return changes;
 }
 
+void dispatcher::handle_end_stored(std::string_view id)
+{
+    job_run* job = this->tracker.find(id);
+    if (job == nullptr)
+        return;
+    job->is_end_stored = true;
+    if (this->format == progress_format::per_job)
+        return;
+    for (work_unit& unit : job->units) {
+        if (unit.is_recorded && unit.placed_tasks.empty())
+            job->mark_changed(unit);
+    }
+}
+
 std::vector<start_order> dispatcher::confirm_changes(const dispatch_changes& changes, boot_time now)
 {
     for (const dispatch_changes::recorded_ends& recorded : changes.ends) {
@@ -309,6 +377,14 @@
         if (target != nullptr && target->entry.incarnation_ms == recorded.incarnation_ms)
             target->last_end_recorded = std::max(target->last_end_recorded, recorded.last_end);
     }
+    for (const dispatch_changes::job_record& record : changes.records) {
+        if (is_final(record.progress.phase()))
+            this->handle_end_stored(record.job);
+    }
+    for (const dispatch_changes::phase_record& record : changes.phases) {
+        if (is_final(record.phase))
+            this->handle_end_stored(record.job);
+    }
     std::vector<start_order> wanted;
     for (const start_order& order : changes.starts) {
         if (this->tracker.mark_ordered(order.reference, now))
--- a/libraries/dispatch/dispatcher.h
+++ b/libraries/dispatch/dispatcher.h
@@ -3,6 +3,8 @@
 
 #pragma once
 
+#include <cstddef>
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -20,29 +22,49 @@
 
 namespace wigeon {
 
+// How the progress of jobs is recorded in the store.
+enum class progress_format : std::uint8_t {
+    per_job,  // One record with all units of a job, as earlier builds read it.
+    per_unit, // A record of each unit, and one of the job's phase.
+};
+
 struct dispatch_limits {
     milliseconds max_lease{0};     // Length of the leases that the leader sends to executors.
     milliseconds max_stop_time{0}; // Longest time that an executor takes for a stop.
     milliseconds max_poll_age{0};  // An executor whose newest answered poll is older gets no new task.
 };
 
-// Changes that are written to the store as one append, and the start orders that may be sent once it is stored.
+// Changes to be written to the store, and the start orders that may be sent once they are stored. The records of units
+// are one append and the phases another; either may be stored without the other.
 struct dispatch_changes {
     struct job_record {
         std::string job;
         records::JobProgress progress;
     };
+    struct unit_record {
+        std::string key;
+        std::optional<records::UnitRecord> content; // None: the record is removed, because the job has ended.
+    };
+    struct phase_record {
+        std::string job;
+        records::JobPhase phase = records::JOB_PHASE_QUEUED;
+    };
     struct recorded_ends {
         std::string executor;
         std::uint64_t incarnation_ms = 0;
         std::uint64_t last_end = 0;
     };
 
-    std::vector<job_record> records;
+    std::vector<job_record> records; // Only with progress_format::per_job.
+    std::vector<unit_record> units;  // These and the phases only with progress_format::per_unit.
+    std::vector<phase_record> phases;
     std::vector<start_order> starts;
     std::vector<recorded_ends> ends;
 
-    [[nodiscard]] bool is_empty() const { return this->records.empty() && this->ends.empty(); }
+    [[nodiscard]] bool is_empty() const
+    {
+        return this->records.empty() && this->units.empty() && this->phases.empty() && this->ends.empty();
+    }
 };
 
 class dispatcher {
@@ -54,6 +76,9 @@
 
     void set_policy(const fleet_policy& new_policy);
 
+    // Must not be called after the first change was collected. The default is progress_format::per_unit.
+    void set_progress_format(progress_format new_format) { this->format = new_format; }
+
     // Does nothing if the job is known already. `wall_ms` is the wall clock in milliseconds, here and in decide(); the
     // job's age is derived from it.
     void add_job(const std::string& id, const records::Submission& submission, const records::JobProgress& progress,
@@ -107,10 +132,16 @@
     void place_step(const waiting_step& waiting, boot_time now);
     std::optional<std::vector<std::string>> place_unit(const waiting_step& waiting, std::uint32_t unit_row,
                                                        boot_time now);
+    [[nodiscard]] bool collect_job_records(dispatch_changes& changes);
+    [[nodiscard]] bool collect_unit_records(dispatch_changes& changes);
+    [[nodiscard]] bool collect_units_of(job_run& job, dispatch_changes& changes, std::size_t& bytes);
+    void remove_unit_records(job_run& job, dispatch_changes& changes);
+    void handle_end_stored(std::string_view id);
     void stop_stalled_units(boot_time now);
     void stop_if_stalled(job_run& job, work_unit& unit, boot_time now);
 
     dispatch_limits limits;
+    progress_format format = progress_format::per_unit;
     executor_registry registry;
     run_tracker tracker;
     fleet_policy policy;
--- a/libraries/dispatch/job_run.cpp
+++ b/libraries/dispatch/job_run.cpp
@@ -70,11 +70,63 @@
     return nullptr;
 }
 
+namespace {
+
+// Rows of the executors' incarnations in a record.
+class incarnation_rows {
+public:
+    // Returns the row of the task's executor; adds it to `executors` when it has none.
+    std::uint32_t find_or_add(const placed_task& task,
+                              google::protobuf::RepeatedPtrField<records::ExecutorLife>& executors)
+    {
+        const auto [inserted, is_new] =
+            this->rows.try_emplace({task.executor, task.incarnation_ms}, static_cast<std::uint32_t>(this->rows.size()));
+        if (is_new) {
+            records::ExecutorLife& incarnation = *executors.Add();
+            incarnation.set_id(task.executor);
+            incarnation.set_born_ms(task.incarnation_ms);
+        }
+        return inserted->second;
+    }
+
+private:
+    std::map<std::pair<std::string, std::uint64_t>, std::uint32_t> rows;
+};
+
+// Fills in what a record says of a unit, apart from its position and its executors.
+void record_unit(const work_unit& unit, records::UnitProgress& saved)
+{
+    saved.set_done(unit.is_done);
+    saved.set_run(unit.run);
+    saved.set_failures(unit.failures);
+    saved.set_counted_run(unit.counted_run);
+    if (!unit.is_done)
+        saved.set_checkpoint(unit.checkpoint);
+}
+
+} // namespace
+
+void job_run::mark_changed(work_unit& unit)
+{
+    if (!std::exchange(unit.is_changed, true))
+        this->changed_units.push_back(this->row_of(unit));
+}
+
+std::vector<std::uint32_t> job_run::take_changes()
+{
+    this->is_phase_changed = false;
+    std::vector<std::uint32_t> changed = std::move(this->changed_units);
+    this->changed_units.clear();
+    for (const std::uint32_t row : changed)
+        this->units[row].is_changed = false;
+    return changed;
+}
+
 records::JobProgress job_run::make_record() const
 {
     records::JobProgress record;
     record.set_phase(this->phase);
-    std::map<std::pair<std::string, std::uint64_t>, std::uint32_t> rows;
+    incarnation_rows rows;
     for (const work_unit& unit : this->units) {
         if (unit.run == 0)
             continue;
@@ -82,45 +134,57 @@
         saved.set_occurrence(this->steps[unit.step_row].occurrence);
         saved.set_step(this->steps[unit.step_row].step);
         saved.set_first_task(unit.first_task);
-        saved.set_run(unit.run);
-        saved.set_failures(unit.failures);
-        saved.set_counted_run(unit.counted_run);
-        saved.set_done(unit.is_done);
+        record_unit(unit, saved);
         if (unit.is_done)
             continue;
-        saved.set_checkpoint(unit.checkpoint);
-        for (const placed_task& task : unit.placed_tasks) {
-            const auto [inserted, is_new] =
-                rows.try_emplace({task.executor, task.incarnation_ms}, static_cast<std::uint32_t>(rows.size()));
-            if (is_new) {
-                records::ExecutorLife& incarnation = *record.add_executors();
-                incarnation.set_id(task.executor);
-                incarnation.set_born_ms(task.incarnation_ms);
-            }
-            saved.add_placed_on(inserted->second);
-        }
+        for (const placed_task& task : unit.placed_tasks)
+            saved.add_placed_on(rows.find_or_add(task, *record.mutable_executors()));
     }
     return record;
 }
 
-void job_run::collect_planned_starts(std::vector<start_order>& orders) const
+records::UnitRecord job_run::make_unit_record(const work_unit& unit) const
 {
-    for (std::uint32_t unit_row = 0; unit_row < this->units.size(); ++unit_row) {
-        const work_unit& unit = this->units[unit_row];
-        for (std::uint32_t row = 0; row < unit.placed_tasks.size(); ++row) {
-            const placed_task& task = unit.placed_tasks[row];
-            if (task.phase != task_phase::planned)
-                continue;
-            const step_run& step = this->steps[unit.step_row];
-            orders.push_back({{this->id, unit_row, row, unit.run},
-                              task.executor,
-                              task.incarnation_ms,
-                              make_task_name(this->id, {step.occurrence, step.step, unit.first_task + row}),
-                              this->submission.payload(),
-                              unit.checkpoint,
-                              task.ticket});
-        }
+    records::UnitRecord record;
+    records::UnitProgress& saved = *record.mutable_progress();
+    if (unit.is_done) {
+        saved.set_done(true);
+        return record;
+    }
+    record_unit(unit, saved);
+    incarnation_rows rows;
+    for (const placed_task& task : unit.placed_tasks)
+        saved.add_placed_on(rows.find_or_add(task, *record.mutable_executors()));
+    return record;
+}
+
+std::string job_run::make_unit_key(const work_unit& unit) const
+{
+    const step_run& step = this->steps[unit.step_row];
+    return make_task_name(this->id, {step.occurrence, step.step, unit.first_task});
+}
+
+void job_run::collect_planned_starts(const work_unit& unit, std::vector<start_order>& orders) const
+{
+    const step_run& step = this->steps[unit.step_row];
+    for (std::uint32_t row = 0; row < unit.placed_tasks.size(); ++row) {
+        const placed_task& task = unit.placed_tasks[row];
+        if (task.phase != task_phase::planned)
+            continue;
+        orders.push_back({{this->id, this->row_of(unit), row, unit.run},
+                          task.executor,
+                          task.incarnation_ms,
+                          make_task_name(this->id, {step.occurrence, step.step, unit.first_task + row}),
+                          this->submission.payload(),
+                          unit.checkpoint,
+                          task.ticket});
     }
 }
 
+void job_run::collect_planned_starts(std::vector<start_order>& orders) const
+{
+    for (const work_unit& unit : this->units)
+        this->collect_planned_starts(unit, orders);
+}
+
 } // namespace wigeon
--- a/libraries/dispatch/job_run.h
+++ b/libraries/dispatch/job_run.h
@@ -50,6 +50,8 @@
     std::uint32_t run = 0; // The highest run number assigned; never reused.
     std::uint32_t failures = 0;
     bool is_done = false;
+    bool is_changed = false;       // Listed in job_run::changed_units.
+    bool is_recorded = false;      // The topic of units has a record of it.
     std::uint32_t counted_run = 0; // The last run whose failure is in `failures`.
     std::string checkpoint;
     std::vector<placed_task> placed_tasks; // One per task from placement until all are resolved; else empty.
@@ -79,8 +81,10 @@
     std::vector<work_unit> units;
     std::uint32_t occurrences_added = 0;
     records::JobPhase phase = records::JOB_PHASE_QUEUED;
-    bool is_changed = false;          // Since its last record.
-    std::size_t unresolved_tasks = 0; // Placed tasks that are not resolved.
+    std::vector<std::uint32_t> changed_units; // Rows of the units that changed since their last record, each once.
+    bool is_phase_changed = false;            // Since the last record of the phase.
+    bool is_end_stored = false;               // The store has the record of the job's final phase.
+    std::size_t unresolved_tasks = 0;         // Placed tasks that are not resolved.
 
     [[nodiscard]] const records::Step& step_of(const work_unit& unit) const
     {
@@ -102,11 +106,20 @@
     // such task.
     work_unit* find_unit(const task_position& position, std::uint32_t& task_row);
 
-    // Appends the start orders that may be sent once the job's current record is in the store.
+    // Appends the start orders that may be sent once the current record of the job, or of the unit, is in the store.
     void collect_planned_starts(std::vector<start_order>& orders) const;
+    void collect_planned_starts(const work_unit& unit, std::vector<start_order>& orders) const;
 
-    // The record from which a later leader restores the job's progress.
+    void mark_changed(work_unit& unit);
+    [[nodiscard]] bool is_changed() const { return this->is_phase_changed || !this->changed_units.empty(); }
+
+    // Returns the rows of the changed units and counts them, and the phase, as recorded.
+    std::vector<std::uint32_t> take_changes();
+
+    // The records from which a later leader restores the job's progress: one for the whole job, or one for each unit.
     [[nodiscard]] records::JobProgress make_record() const;
+    [[nodiscard]] records::UnitRecord make_unit_record(const work_unit& unit) const;
+    [[nodiscard]] std::string make_unit_key(const work_unit& unit) const;
 
     [[nodiscard]] std::uint32_t occurrence_count() const { return std::max(1U, this->submission.occurrences()); }
 };
--- a/libraries/dispatch/run_tracker.cpp
+++ b/libraries/dispatch/run_tracker.cpp
@@ -57,11 +57,28 @@
         this->restore_unit(job, saved, progress, now);
     for (std::uint32_t occurrence = 0; occurrence < occurrences; ++occurrence)
         job.mark_ready_steps(occurrence, now);
+    this->restore_phase(job, now);
+    return job;
+}
+
+// The record of the phase may lack the start, since it is appended apart from the records of the units. An end is never
+// missing in it while the units show it: it is recorded before the executors drop the last ends.
+void run_tracker::restore_phase(job_run& job, boot_time now)
+{
     if (!is_active(job)) {
-        for (work_unit& unit : job.units)
+        job.is_end_stored = true;
+        for (work_unit& unit : job.units) {
             this->stop_unit(job, unit, now);
+            if (unit.is_recorded && unit.placed_tasks.empty())
+                job.mark_changed(unit);
+        }
+        return;
+    }
+    const auto has_started = [](const work_unit& unit) { return unit.is_recorded; };
+    if (job.phase == records::JOB_PHASE_QUEUED && std::any_of(job.units.begin(), job.units.end(), has_started)) {
+        job.phase = records::JOB_PHASE_RUNNING;
+        job.is_phase_changed = true;
     }
-    return job;
 }
 
 void run_tracker::add_due_occurrences(job_run& job, std::uint64_t wall_ms, boot_time now)
@@ -91,6 +108,7 @@
     unit->failures = saved.failures();
     unit->counted_run = saved.counted_run();
     unit->checkpoint = saved.checkpoint();
+    unit->is_recorded = true;
     if (saved.done()) {
         unit->is_done = true;
         --job.steps[unit->step_row].units_left;
@@ -150,9 +168,11 @@
         ++job.unresolved_tasks;
         unit.placed_tasks.push_back(std::move(task));
     }
-    if (job.phase == records::JOB_PHASE_QUEUED)
+    if (job.phase == records::JOB_PHASE_QUEUED) {
         job.phase = records::JOB_PHASE_RUNNING;
-    job.is_changed = true;
+        job.is_phase_changed = true;
+    }
+    job.mark_changed(unit);
 }
 
 void run_tracker::stop_unit(job_run& job, work_unit& unit, boot_time now)
@@ -269,7 +289,7 @@
 void run_tracker::settle(job_run& job, work_unit& unit, boot_time now)
 {
     unit.placed_tasks.clear();
-    job.is_changed = true;
+    job.mark_changed(unit);
     if (unit.is_done || !is_active(job))
         return;
     unit.waiting_since = now;
@@ -281,7 +301,7 @@
     if (unit.is_done)
         return;
     unit.is_done = true;
-    job.is_changed = true;
+    job.mark_changed(unit);
     step_run& step = job.steps[unit.step_row];
     std::erase(step.waiting, job.row_of(unit));
     if (--step.units_left > 0)
@@ -297,7 +317,7 @@
 void run_tracker::end_job(job_run& job, records::JobPhase phase, boot_time now)
 {
     job.phase = phase;
-    job.is_changed = true;
+    job.is_phase_changed = true;
     for (step_run& step : job.steps)
         step.waiting.clear();
     for (work_unit& unit : job.units) {
@@ -319,7 +339,7 @@
         return;
     unit.counted_run = unit.run;
     unit.failed_on.insert(source.entry.id);
-    job.is_changed = true;
+    job.mark_changed(unit);
     if (job.step_of(unit).lasting())
         return;
     ++unit.failures;
@@ -516,7 +536,7 @@
 {
     std::erase_if(this->jobs_by_id, [](const auto& entry) {
         const job_run& job = entry.second;
-        return is_final(job.phase) && !job.is_changed && job.unresolved_tasks == 0;
+        return is_final(job.phase) && job.is_end_stored && !job.is_changed() && job.unresolved_tasks == 0;
     });
 }
 
--- a/libraries/dispatch/run_tracker.h
+++ b/libraries/dispatch/run_tracker.h
@@ -73,6 +73,7 @@
 private:
     void restore_unit(job_run& job, const records::UnitProgress& saved, const records::JobProgress& progress,
                       boot_time now);
+    void restore_phase(job_run& job, boot_time now);
     placed_task* find_task(const task_reference& reference, job_run*& job, work_unit*& unit);
     void apply_task_end(executor& source, const ended_task& ended, boot_time now);
     std::optional<task_reference> apply_running_task(const executor& source, const running_task& reported,
--- a/libraries/jobs/job_keys.h
+++ b/libraries/jobs/job_keys.h
@@ -10,12 +10,22 @@
 namespace wigeon {
 
 constexpr std::string_view jobs_topic = "keyed.jobs";
-constexpr std::string_view progress_topic = "keyed.progress";
 constexpr std::string_view term_topic = "term";
 
-// Key of the leader's heartbeat in the progress topic. Job ids contain no '!', so it is never a job's key.
+// Progress per unit: a small record of each job that is not queued, which all nodes follow, and a record of each unit
+// that was placed, which only a new leader reads.
+constexpr std::string_view states_topic = "keyed.states";
+constexpr std::string_view units_topic = "keyed.units";
+
+// Progress per job, as builds before the per-unit format record it: one record with all units of a job.
+constexpr std::string_view progress_topic = "keyed.progress";
+
+// Key of the leader's heartbeat in the topic that followers read. Job ids contain no '!', so it is never a job's key.
 constexpr std::string_view leader_key = "!leader";
 
+// Key of the RecordFormat in the states topic. Once it exists, the leader records progress per unit.
+constexpr std::string_view format_key = "!format";
+
 // Returns the key of a job's cancellation in the jobs topic.
 std::string make_cancel_key(std::string_view job);
 
--- a/libraries/jobs/job_table.cpp
+++ b/libraries/jobs/job_table.cpp
@@ -3,6 +3,7 @@
 #include "jobs/job_table.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "jobs/job_keys.h"
 
@@ -77,19 +78,45 @@
     if (record.key == leader_key)
         return true;
     if (!record.value) {
-        // The entry stays while its submission is known here: the submission's tombstone has not been read yet.
-        const auto found = this->jobs.find(record.key);
-        if (found != this->jobs.end() && !found->second.submission)
-            this->jobs.erase(found);
+        this->remove_progress(record.key);
         return true;
     }
     records::JobProgress progress;
     if (!progress.ParseFromString(*record.value))
         return false;
-    job_entry& entry = this->find_or_create(record.key, now);
+    this->set_progress(record.key, std::move(progress), now);
+    return true;
+}
+
+bool job_table::apply_state_record(const keyed_record& record, boot_time now)
+{
+    if (!record.value) {
+        this->remove_progress(record.key);
+        return true;
+    }
+    records::JobState job_state;
+    if (!job_state.ParseFromString(*record.value))
+        return false;
+    records::JobProgress progress;
+    progress.set_phase(job_state.phase());
+    this->set_progress(record.key, std::move(progress), now);
+    return true;
+}
+
+// The entry stays while its submission is known here: the submission's tombstone has not been read yet.
+void job_table::remove_progress(std::string_view job)
+{
+    const auto found = this->jobs.find(job);
+    if (found != this->jobs.end() && !found->second.submission)
+        this->jobs.erase(found);
+}
+
+void job_table::set_progress(std::string_view job, records::JobProgress progress, boot_time now)
+{
+    job_entry& entry = this->find_or_create(job, now);
     // A node that stops leading reads its own records again. A final phase is not overwritten by an earlier one.
     if (entry.is_final() && !is_final(progress.phase()))
-        return true;
+        return;
     entry.has_started = entry.has_started || progress.phase() != records::JOB_PHASE_QUEUED;
     entry.progress = std::move(progress);
     if (entry.is_final() && !entry.final_since)
@@ -97,7 +124,6 @@
     // A process that has not read the submission takes this moment as the time of its removal.
     if (entry.is_final() && !entry.submission && !entry.submission_removed_since)
         entry.submission_removed_since = now;
-    return true;
 }
 
 std::vector<keyed_record> job_table::list_expired_submissions(milliseconds retention, std::size_t limit,
--- a/libraries/jobs/job_table.h
+++ b/libraries/jobs/job_table.h
@@ -18,7 +18,7 @@
 
 struct job_entry {
     std::optional<records::Submission> submission; // None: not read so far, or removed from the store.
-    records::JobProgress progress;
+    records::JobProgress progress;                 // Without units where the leader records progress per unit.
     bool is_cancel_requested = false;
     bool has_started = false; // A task of the job has been placed at least once.
     boot_time first_seen;
@@ -35,10 +35,14 @@
 
 class job_table {
 public:
-    // Apply a record of the jobs topic or the progress topic. Return false, without a change, when it can't be parsed.
+    // Apply a record of the topic of jobs or of progress per job. Return false, without a change, when it can't be
+    // parsed.
     bool apply_submission_record(const keyed_record& record, boot_time now);
     bool apply_progress_record(const keyed_record& record, boot_time now);
 
+    // Applies a record of the topic of states, like apply_progress_record().
+    bool apply_state_record(const keyed_record& record, boot_time now);
+
     [[nodiscard]] const job_entry* find(std::string_view job) const;
     [[nodiscard]] const std::map<std::string, job_entry, std::less<>>& all() const { return this->jobs; }
 
@@ -51,8 +55,8 @@
     // topic.
     void drop_removed_submissions(const std::map<std::string, std::uint64_t, std::less<>>& keys, boot_time now);
 
-    // Returns tombstones for the progress of ended jobs, at most `limit`. Includes only jobs whose submission was
-    // removed so long ago that no process still holds it.
+    // Returns tombstones for the progress or states of ended jobs, at most `limit`. Includes only jobs whose submission
+    // was removed so long ago that no process still holds it.
     [[nodiscard]] std::vector<keyed_record> list_expired_progress(std::size_t limit, boot_time now) const;
 
     // Counts the queue's accepted jobs that have had no task placed so far and are not cancelled.
@@ -60,6 +64,8 @@
 
 private:
     job_entry& find_or_create(std::string_view job, boot_time now);
+    void remove_progress(std::string_view job);
+    void set_progress(std::string_view job, records::JobProgress progress, boot_time now);
 
     std::map<std::string, job_entry, std::less<>> jobs;
 };
--- a/libraries/node/executor_sessions.cpp
+++ b/libraries/node/executor_sessions.cpp
@@ -97,14 +97,15 @@
 executor_sessions::executor_sessions(boost::asio::io_context& event_loop, const external_services& external,
                                      dispatcher& leader_dispatcher, std::uint64_t token, listener& change_listener)
     : loop(event_loop),
+      scheduler(event_loop),
       executors(external.executors),
       job_dispatcher(leader_dispatcher),
       decoder(external.decoder),
       fencing_token(token),
       event_listener(change_listener),
       directory_topic_consumer(std::make_unique<directory_consumer>(*this)),
-      directory(std::make_shared<topic_reader>(event_loop, external.store, external.topics.executors_topic,
-                                               directory_timing, *directory_topic_consumer))
+      directory(std::make_shared<topic_reader>(scheduler, external.store, external.topics.executors_topic,
+                                               directory_timing, prompt_pace, *directory_topic_consumer))
 {
 }
 
--- a/libraries/node/executor_sessions.h
+++ b/libraries/node/executor_sessions.h
@@ -12,6 +12,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "dispatch/dispatcher.h"
+#include "net/asio_scheduler.h"
 #include "node/external_services.h"
 #include "store/topic_reader.h"
 
@@ -69,6 +70,7 @@
     void handle_fenced(const std::string& id);
 
     boost::asio::io_context& loop;
+    asio_scheduler scheduler;
     executor_service& executors;
     dispatcher& job_dispatcher;
     const document_decoder& decoder;
--- a/libraries/node/leader.cpp
+++ b/libraries/node/leader.cpp
@@ -13,10 +13,6 @@
 
 namespace {
 
-// The leader appends a record at least this often, so that followers see that it is alive: four intervals make up their
-// timeout of 1.6 s.
-constexpr milliseconds heartbeat_interval{400};
-
 // Delay of a round, so that events that arrive together are decided together.
 constexpr milliseconds min_round_delay{3};
 
@@ -33,6 +29,9 @@
 // Delay before a new leader repeats an incomplete read of the state that it takes over.
 constexpr milliseconds read_retry_delay{60};
 
+// Interval of the checks whether a heartbeat is due while a new leader prepares.
+constexpr milliseconds heartbeat_check_interval{100};
+
 // One more than the term, since executors treat a missing token as 0.
 std::uint64_t make_fencing_token(std::uint64_t term)
 {
@@ -66,12 +65,16 @@
     : advisor(external.advisor),
       state(shared_state),
       job_dispatcher(options.limits, boot_clock::now()),
-      identity(options.identity),
+      converts_to_unit_records(options.converts_to_unit_records),
       own_term(term),
       term_started_at(boot_clock::now()),
-      writer(std::make_shared<progress_writer>(loop, external.store, term, term_started_at)),
+      scheduler(loop),
+      recorder(std::make_shared<progress_recorder>(loop, external.store, shared_state, options.identity, term,
+                                                   term_started_at)),
+      units(std::make_shared<unit_loader>(scheduler, external.store)),
       sessions(std::make_shared<executor_sessions>(loop, external, job_dispatcher, make_fencing_token(term), *this)),
       sweeper(std::make_shared<job_sweeper>(external.store, shared_state, options.job_retention)),
+      heartbeat_timer(loop),
       read_timer(loop),
       round_timer(loop),
       maintenance_timer(loop)
@@ -80,7 +83,8 @@
 
 leader::~leader()
 {
-    this->writer->stop();
+    this->recorder->stop();
+    this->units->stop();
     this->sessions->stop();
 }
 
@@ -88,57 +92,125 @@
 {
     this->on_ended = std::move(end_handler);
     this->sessions->start();
-    this->writer->fence_former_leader([self = this->shared_from_this()](progress_outcome outcome) {
+    this->recorder->fence_former_leader([self = this->shared_from_this()](progress_outcome outcome) {
         if (outcome != progress_outcome::done) {
             self->finish(to_leadership_end(outcome));
             return;
         }
-        self->stage = phase::reading;
+        self->stage = phase::preparing;
+        self->send_heartbeats();
         self->read_state();
     });
 }
 
+// Shows the followers that this term has a leader, however long the preparation takes.
+void leader::send_heartbeats()
+{
+    if (this->stage != phase::preparing)
+        return;
+    const boot_time now = boot_clock::now();
+    if (!this->recorder->is_appending() && this->recorder->is_heartbeat_due(now)) {
+        this->recorder->send_heartbeat(now, [self = this->shared_from_this()](progress_outcome outcome) {
+            if (outcome != progress_outcome::done)
+                self->finish(to_leadership_end(outcome));
+            else if (self->stage == phase::leading)
+                self->schedule_round(self->next_round_delay);
+        });
+    }
+    this->heartbeat_timer.expires_after(heartbeat_check_interval);
+    this->heartbeat_timer.async_wait([self = this->shared_from_this()](const boost::system::error_code& reason) {
+        if (!reason)
+            self->send_heartbeats();
+    });
+}
+
 void leader::read_state()
 {
     this->state.refresh_progress([self = this->shared_from_this()](bool is_progress_current) {
-        if (self->stage != phase::reading)
+        if (self->stage != phase::preparing)
             return;
         self->state.refresh_jobs([self, is_progress_current](bool are_jobs_current) {
-            if (self->stage == phase::reading)
+            if (self->stage == phase::preparing)
                 self->handle_state_read(is_progress_current && are_jobs_current);
         });
     });
 }
 
+void leader::read_state_later()
+{
+    this->read_timer.expires_after(read_retry_delay);
+    this->read_timer.async_wait([self = this->shared_from_this()](const boost::system::error_code& reason) {
+        if (!reason && self->stage == phase::preparing)
+            self->read_state();
+    });
+}
+
 void leader::handle_state_read(bool is_current)
 {
-    if (is_current && this->state.is_loaded() && this->sessions->is_directory_read()) {
-        this->begin_leading();
+    if (!is_current || !this->state.is_loaded() || !this->sessions->is_directory_read()) {
+        if (boot_clock::now() - this->term_started_at > max_unconfirmed_leadership)
+            this->finish(leadership_end::store_out_of_reach);
+        else
+            this->read_state_later();
         return;
     }
-    if (boot_clock::now() - this->term_started_at > max_unconfirmed_leadership) {
-        this->finish(leadership_end::store_out_of_reach);
+    if (this->state.has_unit_records())
+        this->load_units();
+    else if (this->converts_to_unit_records)
+        this->convert_records();
+    else {
+        this->job_dispatcher.set_progress_format(progress_format::per_job);
+        this->begin_leading({});
+    }
+}
+
+void leader::convert_records()
+{
+    if (this->recorder->is_appending()) {
+        this->read_state_later();
         return;
     }
-    this->read_timer.expires_after(read_retry_delay);
-    this->read_timer.async_wait([self = this->shared_from_this()](const boost::system::error_code& reason) {
-        if (!reason && self->stage == phase::reading)
-            self->read_state();
+    this->recorder->convert_to_unit_records([self = this->shared_from_this()](progress_outcome outcome) {
+        if (outcome == progress_outcome::done)
+            self->load_units();
+        else
+            self->finish(to_leadership_end(outcome));
     });
 }
 
-void leader::begin_leading()
+void leader::load_units()
+{
+    this->units->start([self = this->shared_from_this()](unit_progress_map loaded) {
+        if (self->stage == phase::preparing)
+            self->begin_leading(std::move(loaded));
+    });
+}
+
+void leader::begin_leading(unit_progress_map loaded)
 {
     const boot_time now = boot_clock::now();
     this->stage = phase::leading;
-    this->last_append = now - heartbeat_interval;
+    this->heartbeat_timer.cancel();
     this->state.begin_leading(*this);
     this->job_dispatcher.set_policy(*this->state.policy());
     std::size_t open_jobs = 0;
     for (const auto& [id, job] : this->state.jobs().all()) {
-        if (job.submission && !job.is_final())
+        if (!job.submission)
+            continue;
+        if (!job.is_final())
             ++open_jobs;
-        this->handle_job_change(id, now);
+        const auto found = loaded.find(id);
+        if (found == loaded.end()) {
+            this->handle_job_change(id, now);
+            continue;
+        }
+        found->second.set_phase(job.progress.phase());
+        this->add_job(id, job, found->second, now);
+        loaded.erase(found);
+    }
+    for (const auto& [id, progress] : loaded) {
+        for (const records::UnitProgress& unit : progress.units())
+            this->stale_unit_records.push_back({make_unit_key(id, unit), std::nullopt});
     }
     log_event("leading", {{"term", std::to_string(this->own_term)},
                           {"open_jobs", std::to_string(open_jobs)},
@@ -155,8 +227,10 @@
         return;
     const bool was_leading = this->stage == phase::leading;
     this->stage = phase::ended;
-    this->writer->stop();
+    this->recorder->stop();
+    this->units->stop();
     this->sessions->stop();
+    this->heartbeat_timer.cancel();
     this->read_timer.cancel();
     this->round_timer.cancel();
     this->maintenance_timer.cancel();
@@ -184,8 +258,13 @@
         return;
     if (job->is_final() && !job->has_placed_units())
         return;
-    this->job_dispatcher.add_job(id, *job->submission, job->progress, read_wall_clock_ms(), now);
-    if (job->is_cancel_requested)
+    this->add_job(id, *job, job->progress, now);
+}
+
+void leader::add_job(const std::string& id, const job_entry& job, const records::JobProgress& progress, boot_time now)
+{
+    this->job_dispatcher.add_job(id, *job.submission, progress, read_wall_clock_ms(), now);
+    if (job.is_cancel_requested)
         this->job_dispatcher.cancel_job(id, now);
     this->schedule_round(this->next_round_delay);
 }
@@ -220,11 +299,11 @@
 void leader::run_round()
 {
     const boot_time now = boot_clock::now();
-    if (this->writer->has_timed_out(now)) {
+    if (this->recorder->has_timed_out(now)) {
         this->finish(leadership_end::store_out_of_reach);
         return;
     }
-    if (!this->pending_changes) {
+    if (!this->pending_changes && !this->recorder->is_appending()) {
         if (this->may_decide(now))
             this->decide(now);
         this->commit();
@@ -255,42 +334,28 @@
     this->next_round_delay = std::clamp(delay, min_round_delay, max_round_delay);
 }
 
-std::string leader::make_heartbeat(bool is_resigned) const
-{
-    records::LeaderBeat heartbeat;
-    heartbeat.set_node(this->identity.node);
-    heartbeat.set_incarnation(this->identity.incarnation);
-    heartbeat.set_term(this->own_term);
-    heartbeat.set_resigned(is_resigned);
-    return heartbeat.SerializeAsString();
-}
-
 void leader::commit()
 {
     const boot_time now = boot_clock::now();
-    dispatch_changes changes = this->job_dispatcher.collect_changes();
-    const bool is_heartbeat_due = now - this->last_append >= heartbeat_interval || this->is_resigning;
-    if (changes.records.empty() && !is_heartbeat_due) {
-        if (!changes.ends.empty()) {
-            this->pending_changes = std::move(changes);
-            this->apply_committed();
-        }
-        return;
-    }
-    this->pending_records = this->sweeper->list_progress_removals(now);
-    for (const dispatch_changes::job_record& record : changes.records)
-        this->pending_records.push_back({record.job, record.progress.SerializeAsString()});
-    if (is_heartbeat_due)
-        this->pending_records.push_back({std::string(leader_key), this->make_heartbeat(this->is_resigning)});
+    this->pending_changes = this->job_dispatcher.collect_changes();
     this->is_resignation_in_flight = this->is_resigning;
-    this->pending_changes = std::move(changes);
-    this->last_append = now;
-    this->writer->append(this->pending_records, [self = this->shared_from_this()](progress_outcome outcome) {
-        if (outcome == progress_outcome::done)
-            self->apply_committed();
-        else
-            self->finish(to_leadership_end(outcome));
-    });
+    progress_recorder::removals removed{this->sweeper->list_progress_removals(now),
+                                        std::exchange(this->stale_unit_records, {})};
+    const bool is_recording = this->recorder->record(*this->pending_changes, std::move(removed), this->is_resigning,
+                                                     now, [self = this->shared_from_this()](progress_outcome outcome) {
+                                                         if (outcome == progress_outcome::done)
+                                                             self->apply_committed();
+                                                         else
+                                                             self->finish(to_leadership_end(outcome));
+                                                     });
+    if (is_recording)
+        return;
+    // Ends may need no record, for example those of unknown tasks. Phases that wait in the recorder need no
+    // confirmation.
+    if (this->pending_changes->ends.empty())
+        this->pending_changes.reset();
+    else
+        this->apply_committed();
 }
 
 void leader::apply_committed()
@@ -298,19 +363,11 @@
     const boot_time now = boot_clock::now();
     const dispatch_changes changes = std::move(*this->pending_changes);
     this->pending_changes.reset();
-    for (const keyed_record& record : this->pending_records)
-        this->state.apply_own_progress(record, now);
-    this->pending_records.clear();
     if (this->is_resignation_in_flight) {
         this->finish(leadership_end::resigned);
         return;
     }
-    for (const dispatch_changes::job_record& record : changes.records) {
-        if (is_final(record.progress.phase()))
-            log_event("job_ended", {{"job", record.job},
-                                    {"state", records::JobPhase_Name(record.progress.phase())},
-                                    {"term", std::to_string(this->own_term)}});
-    }
+    this->log_ended_jobs(changes);
     for (const start_order& order : this->job_dispatcher.confirm_changes(changes, now))
         this->sessions->send_start(order);
     // These ends are in the store now; the next poll allows the executors to drop them.
@@ -319,6 +376,20 @@
     this->schedule_round(this->next_round_delay);
 }
 
+void leader::log_ended_jobs(const dispatch_changes& changes) const
+{
+    const auto log_end = [this](const std::string& job, records::JobPhase phase) {
+        if (is_final(phase))
+            log_event(
+                "job_ended",
+                {{"job", job}, {"state", records::JobPhase_Name(phase)}, {"term", std::to_string(this->own_term)}});
+    };
+    for (const dispatch_changes::job_record& record : changes.records)
+        log_end(record.job, record.progress.phase());
+    for (const dispatch_changes::phase_record& record : changes.phases)
+        log_end(record.job, record.phase);
+}
+
 void leader::query_advisor(boot_time now)
 {
     auto next_request = this->stage == phase::leading ? this->job_dispatcher.take_advice_request(now) : std::nullopt;
--- a/libraries/node/leader.h
+++ b/libraries/node/leader.h
@@ -1,5 +1,5 @@
-// One term of leadership: fences off the former leader, loads the state, polls all executors, and places tasks until
-// the term ends.
+// One term of leadership: fences off the former leader, loads the state, converts it to the per-unit format if that is
+// wanted, polls all executors, and places tasks until the term ends.
 
 #pragma once
 
@@ -16,20 +16,19 @@
 #include "node/executor_sessions.h"
 #include "node/external_services.h"
 #include "node/job_sweeper.h"
+#include "node/leader_identity.h"
 #include "node/node_state.h"
-#include "node/progress_writer.h"
+#include "node/progress_recorder.h"
+#include "node/unit_loader.h"
 
 namespace wigeon {
 
-struct leader_identity {
-    std::string node;
-    std::uint64_t incarnation = 0;
-};
-
 struct leader_options {
     leader_identity identity;
     dispatch_limits limits;
     milliseconds job_retention{0}; // How long callers can read a job that has ended.
+    // Of a store that is not in the per-unit format yet. Only once all nodes run a build that reads it.
+    bool converts_to_unit_records = false;
 };
 
 enum class leadership_end : std::uint8_t {
@@ -67,11 +66,16 @@
     [[nodiscard]] bool is_leading() const { return this->stage == phase::leading; }
 
 private:
-    enum class phase : std::uint8_t { fencing, reading, leading, ended };
+    enum class phase : std::uint8_t { fencing, preparing, leading, ended };
 
+    void send_heartbeats();
     void read_state();
+    void read_state_later();
     void handle_state_read(bool is_current);
-    void begin_leading();
+    void convert_records();
+    void load_units();
+    void begin_leading(unit_progress_map units);
+    void add_job(const std::string& id, const job_entry& job, const records::JobProgress& progress, boot_time now);
     void finish(leadership_end end);
 
     void run_round();
@@ -80,21 +84,24 @@
     void commit();
     void apply_committed();
     void query_advisor(boot_time now);
+    void log_ended_jobs(const dispatch_changes& changes) const;
     void log_events();
-    [[nodiscard]] std::string make_heartbeat(bool is_resigned) const;
     [[nodiscard]] bool may_decide(boot_time now) const;
 
     advice_service& advisor;
     node_state& state;
     dispatcher job_dispatcher;
-    leader_identity identity;
+    const bool converts_to_unit_records;
     const std::uint64_t own_term;
     const boot_time term_started_at;
     phase stage = phase::fencing;
     std::function<void(leadership_end)> on_ended;
-    std::shared_ptr<progress_writer> writer;
+    asio_scheduler scheduler;
+    std::shared_ptr<progress_recorder> recorder;
+    std::shared_ptr<unit_loader> units;
     std::shared_ptr<executor_sessions> sessions;
     std::shared_ptr<job_sweeper> sweeper;
+    boost::asio::steady_timer heartbeat_timer; // Only before leading; then rounds record the heartbeats.
     boost::asio::steady_timer read_timer;
     boost::asio::steady_timer round_timer;
     boost::asio::steady_timer maintenance_timer;
@@ -103,8 +110,7 @@
     bool is_resigning = false;
     bool is_resignation_in_flight = false;           // The append in flight records the resignation.
     std::optional<dispatch_changes> pending_changes; // What takes effect once the append in flight is stored.
-    std::vector<keyed_record> pending_records;
-    boot_time last_append;
+    std::vector<keyed_record> stale_unit_records;    // Tombstones of units whose jobs are gone, for the next append.
 };
 
 } // namespace wigeon
--- a/libraries/node/node_process.cpp
+++ b/libraries/node/node_process.cpp
@@ -39,7 +39,7 @@
     : loop(event_loop),
       options(given_options),
       services(external),
-      current_state(event_loop, external.store, external.topics, external.decoder),
+      current_state(event_loop, external.store, external.topics, external.decoder, given_options.following),
       service(
           std::make_shared<caller_service>(event_loop, external.store, current_state, given_options.service_limits)),
       election(std::make_shared<leader_election>(event_loop, external.store, current_state, given_options.election,
--- a/libraries/node/node_process.h
+++ b/libraries/node/node_process.h
@@ -28,6 +28,7 @@
     leader_options leading;
     caller_service_limits service_limits;
     election_timeouts election;
+    follower_pace following;
     milliseconds shutdown_timeout{0}; // Time from stop() within which the process must have exited.
 };
 
--- a/libraries/node/node_state.cpp
+++ b/libraries/node/node_state.cpp
@@ -16,15 +16,16 @@
 // twice in that time that there is no newer one.
 constexpr read_timing policy_timing{milliseconds(1'000), milliseconds(0)};
 
-// Callers' reads of a job that isn't final read the store themselves, so this interval only bounds a follower's backlog
-// and the time until it notices that the leader is gone.
-constexpr read_timing follower_timing{milliseconds(0), milliseconds(500)};
+// A node that is asked about a job that it does not know reads the store itself, so this interval bounds a follower's
+// backlog and the age of the number of waiting jobs, which may be 2 s.
+constexpr milliseconds jobs_interval{1'000};
 
 // The leader's reads wait for submissions.
 constexpr read_timing leader_timing{milliseconds(1'000), milliseconds(0)};
 
-// Reads further apart than this don't count as evidence that the leader was silent between them.
-constexpr milliseconds max_read_gap{1'200};
+// Reads of the leader's records that are further apart than this many intervals leave a gap in which it may have been
+// heard.
+constexpr double max_gap_intervals = 2.4;
 
 void report_unreadable(std::string_view topic, std::string_view key, std::string_view problem)
 {
@@ -66,34 +67,60 @@
 
     void apply(const stored_record& record, boot_time now) override
     {
-        if (record.content.key == leader_key && record.content.value) {
-            records::LeaderBeat heartbeat;
-            if (heartbeat.ParseFromString(*record.content.value)) {
-                this->state.liveness.has_resigned = heartbeat.resigned();
-                this->state.liveness.heartbeat = std::move(heartbeat);
-            }
-            else
-                report_unreadable(progress_topic, record.content.key, "record is not a leader heartbeat");
+        if (this->state.uses_unit_records)
             return;
-        }
-        if (!this->state.table.apply_progress_record(record.content, now))
+        if (record.content.key == leader_key)
+            this->state.apply_heartbeat(progress_topic, record.content);
+        else if (!this->state.table.apply_progress_record(record.content, now))
             report_unreadable(progress_topic, record.content.key, "record is not a job progress");
     }
 
     void finish_load(const std::map<std::string, std::uint64_t, std::less<>>& keys, boot_time now) override
     {
         static_cast<void>(keys);
-        this->state.liveness.last_heard = now;
-        this->state.liveness.observed_until = now;
+        if (!this->state.uses_unit_records)
+            this->state.restart_observation(now);
+    }
+
+    void finish_read(std::size_t record_count, boot_time sent_at, boot_time now) override
+    {
+        static_cast<void>(sent_at);
+        if (!this->state.uses_unit_records)
+            this->state.observe_leader(record_count, now);
+    }
+
+private:
+    node_state& state;
+};
+
+class node_state::states_consumer : public topic_consumer {
+public:
+    explicit states_consumer(node_state& owner) : state(owner) {}
+
+    void apply(const stored_record& record, boot_time now) override
+    {
+        if (record.content.key == format_key) {
+            if (record.content.value)
+                this->state.adopt_unit_records(now);
+        }
+        else if (record.content.key == leader_key)
+            this->state.apply_heartbeat(states_topic, record.content);
+        else if (!this->state.table.apply_state_record(record.content, now))
+            report_unreadable(states_topic, record.content.key, "record is not a job state");
+    }
+
+    void finish_load(const std::map<std::string, std::uint64_t, std::less<>>& keys, boot_time now) override
+    {
+        static_cast<void>(keys);
+        if (this->state.uses_unit_records)
+            this->state.restart_observation(now);
     }
 
     void finish_read(std::size_t record_count, boot_time sent_at, boot_time now) override
     {
         static_cast<void>(sent_at);
-        leader_liveness& liveness = this->state.liveness;
-        if (record_count > 0 || now - liveness.observed_until > max_read_gap)
-            liveness.last_heard = now;
-        liveness.observed_until = now;
+        if (this->state.uses_unit_records)
+            this->state.observe_leader(record_count, now);
     }
 
 private:
@@ -133,18 +160,25 @@
 };
 
 node_state::node_state(boost::asio::io_context& loop, record_store& store, const document_topics& document_locations,
-                       const document_decoder& document_reader)
-    : topics(document_locations),
+                       const document_decoder& document_reader, follower_pace pace)
+    : scheduler(loop),
+      topics(document_locations),
       decoder(document_reader),
+      max_read_gap(static_cast<std::int64_t>(static_cast<double>(pace.states_interval.count()) * max_gap_intervals)),
+      follower_states_timing{milliseconds(0), pace.states_interval, pace.max_reload_delay, true},
+      follower_jobs_timing{milliseconds(0), jobs_interval, pace.max_reload_delay, true},
       jobs_topic_consumer(std::make_unique<jobs_consumer>(*this)),
       progress_topic_consumer(std::make_unique<progress_consumer>(*this)),
+      states_topic_consumer(std::make_unique<states_consumer>(*this)),
       policy_topic_consumer(std::make_unique<policy_consumer>(*this)),
-      jobs_reader(
-          std::make_shared<topic_reader>(loop, store, std::string(jobs_topic), follower_timing, *jobs_topic_consumer)),
-      progress_reader(std::make_shared<topic_reader>(loop, store, std::string(progress_topic), follower_timing,
-                                                     *progress_topic_consumer)),
-      policy_reader(
-          std::make_shared<topic_reader>(loop, store, topics.policy_topic, policy_timing, *policy_topic_consumer))
+      jobs_reader(std::make_shared<topic_reader>(scheduler, store, std::string(jobs_topic), follower_jobs_timing,
+                                                 bulk_pace, *jobs_topic_consumer)),
+      progress_reader(std::make_shared<topic_reader>(scheduler, store, std::string(progress_topic),
+                                                     follower_states_timing, bulk_pace, *progress_topic_consumer)),
+      states_reader(std::make_shared<topic_reader>(scheduler, store, std::string(states_topic), follower_states_timing,
+                                                   bulk_pace, *states_topic_consumer)),
+      policy_reader(std::make_shared<topic_reader>(scheduler, store, topics.policy_topic, policy_timing, prompt_pace,
+                                                   *policy_topic_consumer))
 {
 }
 
@@ -155,35 +189,59 @@
 
 void node_state::start()
 {
-    this->jobs_reader->start();
-    this->progress_reader->start();
     this->policy_reader->start();
+    this->states_reader->start();
+    this->progress_reader->start();
+    this->jobs_reader->start();
 }
 
 void node_state::stop()
 {
     this->jobs_reader->stop();
     this->progress_reader->stop();
+    this->states_reader->stop();
     this->policy_reader->stop();
 }
 
 bool node_state::is_loaded() const
 {
-    return this->current_policy.has_value() && this->jobs_reader->is_loaded() && this->progress_reader->is_loaded();
+    return this->current_policy.has_value() && this->jobs_reader->is_loaded() && this->states_reader->is_loaded() &&
+           (this->uses_unit_records || this->progress_reader->is_loaded());
 }
 
 void node_state::refresh_progress(std::function<void(bool)> done)
 {
-    if (this->listener != nullptr)
+    if (this->listener != nullptr) {
         done(true); // The leader writes the progress itself, so its own table is the newest.
-    else
-        this->progress_reader->refresh(std::move(done));
+        return;
+    }
+    if (this->uses_unit_records) {
+        this->states_reader->refresh(std::move(done));
+        return;
+    }
+    // The mark that progress is recorded per unit may have been made since the last read of the states.
+    this->states_reader->refresh([this, done = std::move(done)](bool is_current) {
+        if (!is_current || this->uses_unit_records)
+            done(is_current);
+        else
+            this->progress_reader->refresh(done);
+    });
+}
+
+void node_state::adopt_unit_records(boot_time now)
+{
+    if (std::exchange(this->uses_unit_records, true))
+        return;
+    log_event("unit_records_in_use", {});
+    this->progress_reader->stop();
+    this->restart_observation(now);
 }
 
 void node_state::begin_leading(job_listener& leader)
 {
     this->listener = &leader;
     this->progress_reader->stop();
+    this->states_reader->stop();
     this->jobs_reader->set_timing(leader_timing);
 }
 
@@ -191,8 +249,10 @@
 {
     this->listener = nullptr;
     this->liveness.last_heard = boot_clock::now();
-    this->jobs_reader->set_timing(follower_timing);
-    this->progress_reader->start();
+    this->jobs_reader->set_timing(follower_jobs_timing);
+    this->states_reader->start();
+    if (!this->uses_unit_records)
+        this->progress_reader->start();
 }
 
 void node_state::apply_own_progress(const keyed_record& record, boot_time now)
@@ -200,6 +260,36 @@
     this->table.apply_progress_record(record, now);
 }
 
+void node_state::apply_own_state(const keyed_record& record, boot_time now)
+{
+    if (record.key != leader_key && record.key != format_key)
+        this->table.apply_state_record(record, now);
+}
+
+void node_state::apply_heartbeat(std::string_view topic, const keyed_record& record)
+{
+    records::LeaderBeat heartbeat;
+    if (!record.value || !heartbeat.ParseFromString(*record.value)) {
+        report_unreadable(topic, record.key, "record is not a leader heartbeat");
+        return;
+    }
+    this->liveness.has_resigned = heartbeat.resigned();
+    this->liveness.heartbeat = std::move(heartbeat);
+}
+
+void node_state::observe_leader(std::size_t record_count, boot_time now)
+{
+    if (record_count > 0 || now - this->liveness.observed_until > this->max_read_gap)
+        this->liveness.last_heard = now;
+    this->liveness.observed_until = now;
+}
+
+void node_state::restart_observation(boot_time now)
+{
+    this->liveness.last_heard = now;
+    this->liveness.observed_until = now;
+}
+
 void node_state::restart_leader_timeout(boot_time now)
 {
     this->liveness.last_heard = now;
--- a/libraries/node/progress_writer.cpp
+++ b/libraries/node/progress_writer.cpp
@@ -2,13 +2,13 @@
 
 #include "node/progress_writer.h"
 
+#include <algorithm>
 #include <string>
 #include <utility>
 
 #include "base/logging.h"
 #include "base/metrics.h"
 #include "dispatch/executor_registry.h"
-#include "jobs/job_keys.h"
 
 namespace wigeon {
 
@@ -21,9 +21,14 @@
 
 } // namespace
 
-progress_writer::progress_writer(boost::asio::io_context& event_loop, record_store& backing_store, std::uint64_t term,
-                                 boot_time now)
-    : store(backing_store), epoch(term + 1), retry_timer(event_loop), last_confirmed(now)
+progress_writer::progress_writer(boost::asio::io_context& event_loop, record_store& backing_store,
+                                 std::string_view topic_name, std::uint64_t term, boot_time now)
+    : store(backing_store),
+      topic(topic_name),
+      epoch(term + 1),
+      retry_timer(event_loop),
+      append_started_at(now),
+      last_confirmed(now)
 {
 }
 
@@ -50,14 +55,14 @@
 
 bool progress_writer::has_timed_out(boot_time now) const
 {
-    return now - this->last_confirmed > max_unconfirmed_leadership;
+    return now - std::max(this->append_started_at, this->last_confirmed) > max_unconfirmed_leadership;
 }
 
 void progress_writer::send()
 {
     append_condition condition;
     condition.producer = {std::string(producer_name), this->epoch, this->next_sequence};
-    this->store.append(progress_topic, this->records, condition,
+    this->store.append(this->topic, this->records, condition,
                        [self = this->shared_from_this()](const append_result& result) { self->handle_result(result); });
 }
 
--- a/libraries/node/progress_writer.h
+++ b/libraries/node/progress_writer.h
@@ -1,4 +1,4 @@
-// Sends a leader's appends to the progress topic, one at a time. Each is retried until its outcome is certain. The
+// Sends a leader's appends to one topic, one at a time. Each is retried until its outcome is certain. The
 // epoch of the term fences off former leaders.
 
 #pragma once
@@ -7,6 +7,8 @@
 #include <functional>
 #include <memory>
 #include <span>
+#include <string>
+#include <string_view>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -18,12 +20,13 @@
 enum class progress_outcome : std::uint8_t {
     done,
     fenced,    // A later leader has taken over.
-    timed_out, // The store has confirmed no append for longer than max_unconfirmed_leadership.
+    timed_out, // The store has not confirmed the append for longer than max_unconfirmed_leadership.
 };
 
 class progress_writer : public std::enable_shared_from_this<progress_writer> {
 public:
-    progress_writer(boost::asio::io_context& loop, record_store& store, std::uint64_t term, boot_time now);
+    progress_writer(boost::asio::io_context& loop, record_store& store, std::string_view topic, std::uint64_t term,
+                    boot_time now);
 
     // Sends an empty append that raises the producer's epoch and learns the next sequence number. Must be done before
     // the first append.
@@ -35,6 +38,7 @@
     // No handler is called afterwards.
     void stop();
 
+    // Whether nothing was confirmed, or begun, for longer than max_unconfirmed_leadership.
     [[nodiscard]] bool has_timed_out(boot_time now) const;
 
 private:
@@ -44,6 +48,7 @@
     void finish(progress_outcome outcome);
 
     record_store& store;
+    const std::string topic;
     const std::uint64_t epoch;
     std::uint64_t next_sequence = 0;
     std::span<const keyed_record> records; // Of the append in flight; none while former leaders are being fenced off.
--- a/libraries/store/record_store.h
+++ b/libraries/store/record_store.h
@@ -3,6 +3,7 @@
 
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -74,6 +75,13 @@
     std::uint64_t end = 0;
 };
 
+// Bounds of one read.
+struct read_bounds {
+    milliseconds wait{0};                    // At the topic's end, wait this long for a record to be appended.
+    milliseconds timeout{1'000};             // The call fails this long after `wait`.
+    std::size_t max_bytes = 1024UL * 1024UL; // Of the records in the answer.
+};
+
 class record_store {
 public:
     virtual ~record_store() = default;
@@ -86,16 +94,17 @@
     virtual void append_unkeyed(std::string_view topic, std::string_view record, const append_condition& condition,
                                 std::function<void(append_result)> done) = 0;
 
-    // Reads from offset `from` on; at the topic's end, waits up to `wait` for a record to be appended.
-    virtual void read(std::string_view topic, std::uint64_t from, milliseconds wait,
+    // Reads from offset `from` on.
+    virtual void read(std::string_view topic, std::uint64_t from, const read_bounds& bounds,
                       std::function<void(read_result)> done) = 0;
 
     // Reads a topic without keys; the records' keys are empty.
     virtual void read_unkeyed(std::string_view topic, std::uint64_t from, std::function<void(read_result)> done) = 0;
 
     // Reads a page of the newest records of the keys after `after`, in the order of keys. Successive pages are not a
-    // consistent snapshot.
-    virtual void read_newest(std::string_view topic, std::string_view after, std::function<void(newest_page)> done) = 0;
+    // consistent snapshot. The call fails after `timeout`.
+    virtual void read_newest(std::string_view topic, std::string_view after, milliseconds timeout,
+                             std::function<void(newest_page)> done) = 0;
 };
 
 } // namespace wigeon
--- a/libraries/store/topic_reader.h
+++ b/libraries/store/topic_reader.h
@@ -10,9 +10,8 @@
 #include <string>
 #include <vector>
 
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
-
+#include "base/event_scheduler.h"
+#include "store/read_pacer.h"
 #include "store/record_store.h"
 
 namespace wigeon {
@@ -42,14 +41,22 @@
 };
 
 struct read_timing {
-    milliseconds wait;  // How long a read at the topic's end waits for a record.
-    milliseconds delay; // Between reads.
+    milliseconds wait;            // How long a read at the topic's end waits for a record.
+    milliseconds delay;           // Between reads.
+    milliseconds reload_delay{0}; // A reload after records were trimmed starts at a random time up to this later.
+    bool is_yielding = false;     // Pauses between reads in a row while the store is slow.
 };
 
+// For topics that are read in small amounts and must be current within a second or two.
+constexpr read_pace_limits prompt_pace{milliseconds(1'000), milliseconds(400)};
+
+// For topics that can hold much data, which many processes read.
+constexpr read_pace_limits bulk_pace{milliseconds(2'000), milliseconds(2'000)};
+
 class topic_reader : public std::enable_shared_from_this<topic_reader> {
 public:
-    topic_reader(boost::asio::io_context& loop, record_store& store, std::string topic, read_timing timing,
-                 topic_consumer& consumer);
+    topic_reader(event_scheduler& scheduler, record_store& store, std::string topic, read_timing timing,
+                 read_pace_limits pace_limits, topic_consumer& consumer);
 
     void start();
     void stop();
@@ -61,33 +68,47 @@
 
     // When the newest read that reached the topic's end was sent; the consumer's state is at least as new.
     [[nodiscard]] std::optional<boot_time> current_as_of() const { return this->as_of; }
-    [[nodiscard]] bool is_loaded() const { return this->loaded; }
+
+    // Whether the topic has been loaded once. While it is loaded anew, the consumer keeps its state, which
+    // current_as_of() dates.
+    [[nodiscard]] bool is_loaded() const { return this->has_loaded; }
     [[nodiscard]] std::uint64_t position() const { return this->next_offset; }
 
 private:
     void run_next();
     void schedule(milliseconds delay);
+    void run_next_after(milliseconds delay);
+    void read_on();
     void read_page();
     void handle_page(const newest_page& page, boot_time sent_at);
+    void finish_pages(boot_time now);
     void read_records(milliseconds wait);
     void read_without_waiting();
+    [[nodiscard]] read_bounds make_bounds(milliseconds wait) const;
     bool apply_records(const read_result& result, boot_time sent_at);
+    void reload();
+    void continue_reading(const read_result& result);
     void handle_records(const read_result& result, boot_time sent_at);
     void handle_failure();
     void complete_refreshes(bool is_current);
 
-    boost::asio::steady_timer timer;
+    event_scheduler& scheduler;
     record_store& store;
     const std::string topic;
     read_timing timing;
+    read_pacer pacer;
     topic_consumer& consumer;
-    bool loaded = false;
+    bool has_loaded = false;
+    bool is_paging = true; // The newest records of all keys are to be read next, or are being read.
     bool stopped = true;
+    std::uint64_t scheduled_run = 0; // Only the call with this number runs; earlier ones were replaced.
     bool is_reading = false;
     bool is_read_waiting = false; // The read in flight waits for a record, so it may confirm nothing for a while.
+    milliseconds in_flight_wait{0};
     std::uint64_t next_offset = 0;
     std::string last_page_key;
     std::optional<std::uint64_t> first_page_end;
+    boot_time first_page_sent_at;
     std::map<std::string, std::uint64_t, std::less<>> page_keys; // Offset by key, until a read has reached the end.
     std::optional<boot_time> as_of;
     std::vector<std::function<void(bool)>> pending_refreshes;   // For the read after the one in flight.
--- a/services/node/main.cpp
+++ b/services/node/main.cpp
@@ -30,6 +30,8 @@
 DEFINE_string(settings, "", "settings file; the environment variable WIGEONCOURSE_NODE_FILE names it by default");
 DEFINE_int32(metrics_port, 0, "port of /metrics on the node's address; 0: the first free port of the settings");
 DEFINE_string(log_format, "json", "json or key=value");
+DEFINE_string(progress_format, "per_job",
+              "per_job, or per_unit once every node runs a build that reads it; a store stays in the per-unit format");
 DEFINE_int32(job_retention_s, 3'600,
              "seconds for which ended jobs stay known; at least twice as long as the settings let callers ask");
 
@@ -56,6 +58,9 @@
 constexpr milliseconds claim_jitter{200};
 constexpr double strong_host_cpu_share = 0.25;
 
+// Weak hosts, which are many and claim later anyway, read less often what the leader records.
+constexpr follower_pace weak_host_pace{milliseconds(1'000), milliseconds(2'500)};
+
 // An idle executor answers a poll at least every 2 s; one poll may be lost.
 constexpr milliseconds max_poll_age{5'000};
 
@@ -93,8 +98,12 @@
     options.service_limits.max_policy_age = settings.revocation_limit - revocation_margin;
     const milliseconds jitter(static_cast<std::int64_t>(options.leading.identity.incarnation %
                                                         static_cast<std::uint64_t>(claim_jitter.count())));
-    const milliseconds host_delay = settings.cpu_share < strong_host_cpu_share ? weak_host_delay : milliseconds(0);
+    const bool is_weak_host = settings.cpu_share < strong_host_cpu_share;
+    const milliseconds host_delay = is_weak_host ? weak_host_delay : milliseconds(0);
+    if (is_weak_host)
+        options.following = weak_host_pace;
     options.election = {leader_timeout + host_delay + jitter, resignation_delay + host_delay + jitter};
+    options.leading.converts_to_unit_records = FLAGS_progress_format == "per_unit";
     options.shutdown_timeout = settings.stop_grace;
     return options;
 }
@@ -162,6 +171,8 @@
 
 void run()
 {
+    if (FLAGS_progress_format != "per_job" && FLAGS_progress_format != "per_unit")
+        throw error(error_kind::malformed_request, "--progress_format must be per_job or per_unit");
     if (FLAGS_job_retention_s < 0)
         throw error(error_kind::malformed_request, "--job_retention_s must not be negative");
     const std::string path = find_settings_path();
--- a/tests/dispatch/dispatcher_test.cpp
+++ b/tests/dispatch/dispatcher_test.cpp
@@ -204,6 +204,60 @@
     BOOST_TEST(this->is_placed(wide));
 }
 
+// What is recorded must not grow with the width of a job, or its cost grows with the square of the width.
+BOOST_FIXTURE_TEST_CASE(the_end_of_a_task_records_that_task_only, fleet_fixture)
+{
+    const std::string id = this->add("q2", 8, 4, false);
+    this->dispatch.decide(0, this->now);
+    const dispatch_changes placed = this->dispatch.collect_changes();
+    BOOST_TEST(placed.units.size() == 8U);
+    BOOST_TEST(placed.phases.size() == 1U);
+    this->dispatch.confirm_changes(placed, this->now);
+    const job_run& job = *this->dispatch.job_runs().find(id);
+    const placed_task& task = job.units[3].placed_tasks.front();
+    poll_report report;
+    report.incarnation_ms = 1;
+    report.clock = milliseconds(this->now.time_since_epoch());
+    for (const task_reference& reference : this->dispatch.job_runs().tasks_on(task.executor)) {
+        if (reference.unit_row != 3)
+            report.running.push_back({make_task_name(id, {0, 0, reference.unit_row}), reference.run, "", 50});
+    }
+    report.ended.push_back({1, make_task_name(id, {0, 0, 3}), 1, run_outcome::done, ""});
+    this->dispatch.handle_poll_report(task.executor, report, this->now, this->now);
+    const dispatch_changes ended = this->dispatch.collect_changes();
+    BOOST_REQUIRE(ended.units.size() == 1U);
+    BOOST_TEST(ended.units[0].key == id + ".0.0.3");
+    BOOST_TEST(ended.units[0].content->progress().done());
+    BOOST_TEST(ended.units[0].content->ByteSizeLong() <= 4U);
+    BOOST_TEST(ended.phases.empty());
+    BOOST_TEST(ended.ends.size() == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(the_records_of_units_go_only_after_the_end_of_their_job_is_stored, fleet_fixture)
+{
+    const std::string id = this->add("q2", 1, 8, false);
+    this->decide();
+    this->dispatch.cancel_job(id, this->now);
+    const dispatch_changes cancelled = this->dispatch.collect_changes();
+    BOOST_REQUIRE(cancelled.phases.size() == 1U);
+    BOOST_TEST(cancelled.units.empty());
+    this->dispatch.confirm_changes(cancelled, this->now);
+    // The task may still run, so a later leader needs its record in order to stop it.
+    BOOST_TEST(this->dispatch.collect_changes().is_empty());
+    const stop_order stop = this->dispatch.collect_stops(this->now).at(0);
+    this->dispatch.handle_stop_answer(stop, true, this->now);
+    this->now += milliseconds(1'000);
+    poll_report report;
+    report.incarnation_ms = 1;
+    report.clock = milliseconds(this->now.time_since_epoch());
+    this->dispatch.handle_poll_report(stop.executor, report, this->now, this->now);
+    const dispatch_changes removed = this->dispatch.collect_changes();
+    BOOST_REQUIRE(removed.units.size() == 1U);
+    BOOST_TEST(!removed.units[0].content.has_value());
+    this->dispatch.confirm_changes(removed, this->now);
+    BOOST_TEST(this->dispatch.job_runs().find(id) == nullptr);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace wigeon
--- a/tests/dispatch/leader_property_test.cpp
+++ b/tests/dispatch/leader_property_test.cpp
@@ -1,5 +1,6 @@
 // Runs one leader after another against a model of the fleet under random faults: changes of leader, executors that
-// fail, restart or are partitioned, and orders and answers that are late or lost. Checks that
+// fail, restart or are partitioned, and orders and answers that are late or lost. The records of units and of phases
+// are separate appends, of which a leader that is replaced may have completed one, both or none. Checks that
 // - no task runs twice at once, or starts after its recorded end, before the steps that it depends on, after its last
 //   attempt or after its job was cancelled;
 // - no executor is overcommitted;
@@ -12,6 +13,7 @@
 
 #include "dispatch/dispatcher.h"
 #include "jobs/job_table.h"
+#include "jobs/unit_records.h"
 #include "models/fleet_model.h"
 #include "support/property.h"
 
@@ -22,6 +24,7 @@
 constexpr dispatch_limits limits{milliseconds(6'000), milliseconds(200), milliseconds(5'000)};
 constexpr milliseconds tick{20};
 constexpr milliseconds poll_interval{200};
+constexpr milliseconds max_delay{30};         // Of a message or an append that is not late.
 constexpr std::uint32_t directory_ticks = 30; // Mean number of ticks between two reads of the directory.
 constexpr milliseconds fault_time{30'000};
 constexpr milliseconds recovery_time{60'000};
@@ -46,7 +49,8 @@
 // Runs one leader after another against the fleet model. All events are drawn from the seed.
 class fault_scenario {
 public:
-    explicit fault_scenario(std::uint64_t seed) : random(seed), fleet(fleet_limits{})
+    fault_scenario(std::uint64_t seed, progress_format record_format)
+        : random(seed), format(record_format), fleet(fleet_limits{})
     {
         for (int row = 0; row < 8; ++row) {
             executor_entry entry;
@@ -121,6 +125,9 @@
         return open;
     }
 
+    // Records of units that were not removed from the store.
+    [[nodiscard]] std::size_t count_unit_records() const { return this->units.size(); }
+
 private:
     struct event {
         boot_time at;
@@ -183,10 +190,13 @@
         ++this->term;
         this->leader = std::make_unique<dispatcher>(limits, this->now);
         this->leader->set_policy(make_policy());
+        this->leader->set_progress_format(this->format);
         for (const executor_entry& entry : this->fleet.list_entries())
             this->leader->update_executor(entry, this->now);
-        for (const std::string& id : this->accepted)
-            this->leader->add_job(id, this->submissions[id], this->progress[id], 0, this->now);
+        for (const std::string& id : this->accepted) {
+            if (const auto restored = this->restore_progress(id))
+                this->leader->add_job(id, this->submissions[id], *restored, 0, this->now);
+        }
         for (const auto& [id, when] : this->cancelled_at)
             this->leader->cancel_job(id, this->now);
         this->is_append_in_flight = false;
@@ -224,7 +234,7 @@
             this->stop(order);
     }
 
-    milliseconds draw_delay() { return milliseconds(1 + this->draw(30)); }
+    milliseconds draw_delay() { return milliseconds(1 + this->draw(static_cast<std::uint32_t>(max_delay.count()))); }
 
     void poll(const std::string& id)
     {
@@ -273,11 +283,26 @@
             return;
         this->is_append_in_flight = true;
         const std::uint64_t sender_term = this->term;
-        this->schedule(this->draw_delay(), [this, changes = std::move(changes), sender_term] {
+        this->schedule(this->draw_delay(), [this, changes, sender_term] {
             if (this->term != sender_term)
                 return;
             for (const dispatch_changes::job_record& record : changes.records)
                 this->progress[record.job] = record.progress;
+            for (const dispatch_changes::unit_record& record : changes.units) {
+                if (record.content)
+                    this->units[record.key] = record.content->SerializeAsString();
+                else
+                    this->units.erase(record.key);
+            }
+        });
+        this->schedule(this->draw_delay(), [this, changes, sender_term] {
+            if (this->term != sender_term)
+                return;
+            for (const dispatch_changes::phase_record& record : changes.phases)
+                this->progress[record.job].set_phase(record.phase);
+        });
+        // Both delays above are at most this long.
+        this->schedule(max_delay, [this, changes = std::move(changes), sender_term] {
             this->schedule(this->draw_delay(), [this, changes, sender_term] {
                 if (this->term != sender_term)
                     return;
@@ -341,7 +366,24 @@
         });
     }
 
+    // What a new leader reads of the job: nothing for one that has ended and none of whose units has a record.
+    std::optional<records::JobProgress> restore_progress(const std::string& id)
+    {
+        records::JobProgress stored = this->progress[id];
+        if (this->format == progress_format::per_job)
+            return stored;
+        unit_progress_map loaded;
+        for (const auto& [key, content] : this->units)
+            add_unit_record({key, content}, loaded);
+        records::JobProgress restored = loaded[id];
+        if (is_final(stored.phase()) && restored.units().empty())
+            return std::nullopt;
+        restored.set_phase(stored.phase());
+        return restored;
+    }
+
     std::mt19937_64 random;
+    progress_format format;
     fleet_model fleet;
     boot_time now{milliseconds(1'000'000)};
     std::unique_ptr<dispatcher> leader;
@@ -349,7 +391,8 @@
     std::map<std::string, bool> is_partitioned;
     std::map<std::string, bool> is_polling;
     std::map<std::string, records::Submission> submissions;
-    std::map<std::string, records::JobProgress> progress; // Content of the store.
+    std::map<std::string, records::JobProgress> progress; // Content of the store; only the phases if there are units.
+    std::map<std::string, std::string> units;             // Content of the topic of units.
     std::vector<std::string> accepted;
     std::map<std::string, boot_time> cancelled_at;
     std::vector<std::string> violations;
@@ -359,23 +402,38 @@
     bool has_faults = false;
 };
 
-} // namespace
-
-BOOST_AUTO_TEST_SUITE(leader_property_story)
-
-BOOST_AUTO_TEST_CASE(no_fault_makes_a_task_run_twice_or_loses_a_job)
+void check_faults(progress_format format)
 {
-    test::check_property("random faults", [](std::uint64_t seed) {
-        fault_scenario scenario(seed);
+    test::check_property("random faults", [format](std::uint64_t seed) {
+        fault_scenario scenario(seed, format);
         scenario.run();
         const std::vector<std::string> violations = scenario.list_violations();
         for (const std::string& violation : violations)
             BOOST_TEST_MESSAGE("seed " << seed << ": " << violation);
         RC_ASSERT(violations.empty());
         RC_ASSERT(scenario.count_open_jobs() == 0U);
+        RC_ASSERT(scenario.count_unit_records() == 0U);
     });
 }
 
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(leader_property_story)
+
+BOOST_AUTO_TEST_SUITE(no_fault_makes_a_task_run_twice_or_loses_a_job)
+
+BOOST_AUTO_TEST_CASE(where_progress_is_recorded_per_unit)
+{
+    check_faults(progress_format::per_unit);
+}
+
+BOOST_AUTO_TEST_CASE(where_progress_is_recorded_per_job)
+{
+    check_faults(progress_format::per_job);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace wigeon
--- a/tests/dispatch/run_tracker_test.cpp
+++ b/tests/dispatch/run_tracker_test.cpp
@@ -55,7 +55,7 @@
         this->tracker.place(job, row, executors, this->now);
         for (const start_order& order : list_planned(job))
             this->tracker.mark_ordered(order.reference, this->now);
-        job.is_changed = false;
+        job.take_changes();
     }
 
     void poll(const std::string& id, std::vector<running_task> running, std::vector<ended_task> ended,
--- a/tests/integration/node_test.cpp
+++ b/tests/integration/node_test.cpp
@@ -114,6 +114,29 @@
     check_no_violations(system);
 }
 
+BOOST_AUTO_TEST_CASE(a_store_is_converted_to_unit_records_while_jobs_run_and_nodes_are_replaced)
+{
+    node_cluster system({.nodes = 3, .executors = 4, .has_unit_records = false});
+    BOOST_TEST(system.submit(0, make_job_id(1), "batch", long_task) == 200);
+    BOOST_TEST(system.submit(1, make_job_id(2), "batch", gang_and_tasks) == 200);
+    BOOST_TEST(system.wait_for_state(make_job_id(1), "batch", "running", wait_timeout));
+    system.use_unit_records();
+    for (int node = 0; node < system.node_count(); ++node) {
+        system.kill_node(node);
+        system.start_node(node);
+        BOOST_TEST(system.wait_until_ready(node, wait_timeout));
+    }
+    BOOST_TEST(system.submit(0, make_job_id(3), "batch", gang_and_tasks) == 200);
+    for (int job = 1; job <= 3; ++job)
+        BOOST_TEST(system.wait_for_state(make_job_id(job), "batch", "completed", wait_timeout));
+    std::string logs;
+    for (int node = 0; node < system.node_count(); ++node)
+        logs += system.read_log(node);
+    BOOST_TEST(logs.find("converting_to_unit_records") != std::string::npos);
+    BOOST_TEST(system.read_report().starts == 13U); // No task was started again.
+    check_no_violations(system);
+}
+
 BOOST_AUTO_TEST_CASE(jobs_outlive_the_end_of_all_nodes)
 {
     node_cluster system({.nodes = 3, .executors = 4});
--- a/tests/models/scripted_store.cpp
+++ b/tests/models/scripted_store.cpp
@@ -34,10 +34,10 @@
     this->append(topic, records, condition, std::move(done));
 }
 
-void scripted_store::read(std::string_view topic, std::uint64_t from, milliseconds wait,
+void scripted_store::read(std::string_view topic, std::uint64_t from, const read_bounds& bounds,
                           std::function<void(read_result)> done)
 {
-    if (this->ignores_long_polls && wait > milliseconds(0))
+    if (this->ignores_long_polls && bounds.wait > milliseconds(0))
         return;
     read_result result;
     if (this->read_fault == store_fault::none)
@@ -47,11 +47,13 @@
 
 void scripted_store::read_unkeyed(std::string_view topic, std::uint64_t from, std::function<void(read_result)> done)
 {
-    this->read(topic, from, milliseconds(0), std::move(done));
+    this->read(topic, from, {}, std::move(done));
 }
 
-void scripted_store::read_newest(std::string_view topic, std::string_view after, std::function<void(newest_page)> done)
+void scripted_store::read_newest(std::string_view topic, std::string_view after, milliseconds timeout,
+                                 std::function<void(newest_page)> done)
 {
+    static_cast<void>(timeout);
     newest_page page;
     if (this->read_fault == store_fault::none)
         page = this->model.read_newest(std::string(topic), std::string(after), this->page_size);
--- a/tests/models/scripted_store.h
+++ b/tests/models/scripted_store.h
@@ -34,10 +34,11 @@
                 std::function<void(append_result)> done) override;
     void append_unkeyed(std::string_view topic, std::string_view record, const append_condition& condition,
                         std::function<void(append_result)> done) override;
-    void read(std::string_view topic, std::uint64_t from, milliseconds wait,
+    void read(std::string_view topic, std::uint64_t from, const read_bounds& bounds,
               std::function<void(read_result)> done) override;
     void read_unkeyed(std::string_view topic, std::uint64_t from, std::function<void(read_result)> done) override;
-    void read_newest(std::string_view topic, std::string_view after, std::function<void(newest_page)> done) override;
+    void read_newest(std::string_view topic, std::string_view after, milliseconds timeout,
+                     std::function<void(newest_page)> done) override;
 
 private:
     boost::asio::io_context& loop;
--- a/tests/store/topic_reader_test.cpp
+++ b/tests/store/topic_reader_test.cpp
@@ -3,6 +3,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "models/scripted_store.h"
+#include "net/asio_scheduler.h"
 #include "store/topic_reader.h"
 
 namespace wigeon {
@@ -35,10 +36,12 @@
 
 struct reader_fixture {
     boost::asio::io_context loop;
+    asio_scheduler scheduler{this->loop};
     scripted_store store{this->loop};
     recording_consumer consumer;
-    std::shared_ptr<topic_reader> reader = std::make_shared<topic_reader>(
-        this->loop, this->store, "keyed.topic", read_timing{milliseconds(0), milliseconds(10)}, this->consumer);
+    std::shared_ptr<topic_reader> reader =
+        std::make_shared<topic_reader>(this->scheduler, this->store, "keyed.topic",
+                                       read_timing{milliseconds(0), milliseconds(10)}, bulk_pace, this->consumer);
 
     void put(const std::string& key, const std::string& value)
     {
--- a/tests/support/node_cluster.cpp
+++ b/tests/support/node_cluster.cpp
@@ -66,14 +66,9 @@
         this->write_settings(node);
         this->start_node(node);
     }
-    const auto deadline = boot_clock::now() + start_timeout;
     for (int node = 0; node < node_count; ++node) {
-        while (!this->is_ready(node)) {
-            if (boot_clock::now() > deadline)
-                throw std::runtime_error("node " + std::to_string(node) +
-                                         " did not become ready: " + this->read_log(node));
-            std::this_thread::sleep_for(poll_interval);
-        }
+        if (!this->wait_until_ready(node, start_timeout))
+            throw std::runtime_error("node " + std::to_string(node) + " did not become ready: " + this->read_log(node));
     }
 }
 
@@ -187,7 +182,8 @@
     this->nodes[static_cast<std::size_t>(node)] =
         process(this->folder, name,
                 {find_program("wigeon-node"), "--settings=" + this->folder + "/" + name + ".json",
-                 "--job_retention_s=" + std::to_string(this->options.job_retention_s)});
+                 "--job_retention_s=" + std::to_string(this->options.job_retention_s),
+                 std::string("--progress_format=") + (this->options.has_unit_records ? "per_unit" : "per_job")});
 }
 
 void node_cluster::signal_node(int node, int signal_number)
@@ -297,6 +293,17 @@
             read_count("done"), platform::require_string(object, "started_jobs")};
 }
 
+bool node_cluster::wait_until_ready(int node, milliseconds timeout)
+{
+    const auto deadline = boot_clock::now() + timeout;
+    while (!this->is_ready(node)) {
+        if (boot_clock::now() > deadline)
+            return false;
+        std::this_thread::sleep_for(poll_interval);
+    }
+    return true;
+}
+
 bool node_cluster::is_ready(int node)
 {
     httplib::Client client = make_client(this->port_of(node, ready_port_offset));
--- a/tests/support/node_cluster.h
+++ b/tests/support/node_cluster.h
@@ -24,6 +24,7 @@
     bool has_proxy = false;          // All connections run through the fault-injecting proxy.
     bool has_advisor = true;         // The settings name an advisor; it shares the store's port.
     bool keeps_connections = false;  // Callers reuse one connection to each node.
+    bool has_unit_records = true;    // Nodes are started with --progress_format=per_unit.
 };
 
 // The connections that one route of the proxy carries: from one node to the store, from all nodes to one executor, or
@@ -78,9 +79,13 @@
     // The leader's index; nothing while no node leads.
     std::optional<int> find_leader();
     bool is_ready(int node);
+    bool wait_until_ready(int node, milliseconds timeout); // False on a timeout.
     std::string read_metrics(int node);
 
     void start_node(int node);
+
+    // Nodes that are started from now on convert the store to progress per unit.
+    void use_unit_records() { this->options.has_unit_records = true; }
     void signal_node(int node, int signal_number);
     void kill_node(int node);
 
