A resignation does not count once a later term is claimed

Change: is_takeover_due() takes the newest claimed term; a resignation from an earlier term does not count, silence does.

Test: a_silent_leader/that_resigned_and_has_a_successor_is_not_replaced_again; the same inputs claimed before (the function had no such argument). Ruled out: a longer delay after a resignation, which would slow each hand-over.

--- a/libraries/node/leader_election.cpp
+++ b/libraries/node/leader_election.cpp
@@ -18,9 +18,11 @@
 
 } // namespace
 
-bool is_takeover_due(const node_state::leader_liveness& liveness, const election_timeouts& timeouts, boot_time now)
+bool is_takeover_due(const node_state::leader_liveness& liveness, std::optional<std::uint64_t> newest_claimed_term,
+                     const election_timeouts& timeouts, boot_time now)
 {
-    if (liveness.has_resigned && now - liveness.last_heard >= timeouts.resignation_delay)
+    const bool has_successor = newest_claimed_term && liveness.heartbeat.term() < *newest_claimed_term;
+    if (liveness.has_resigned && !has_successor && now - liveness.last_heard >= timeouts.resignation_delay)
         return true;
     return liveness.observed_until - liveness.last_heard >= timeouts.leader_timeout;
 }
@@ -68,15 +70,19 @@
 {
     const bool may_claim_at_once =
         this->has_read_claims && (!this->last_claim || this->last_claim->node() == this->identity.node);
-    const bool is_claim_due =
-        this->state.is_loaded() &&
-        (may_claim_at_once || is_takeover_due(this->state.observed_leader(), this->timeouts, boot_clock::now()));
+    const bool is_claim_due = this->state.is_loaded() && (may_claim_at_once || this->is_leader_lost());
     if (is_claim_due || !this->has_read_claims || this->is_attempt_unresolved)
         this->read_claims();
     else
         this->schedule_check();
 }
 
+bool leader_election::is_leader_lost() const
+{
+    const auto newest_claimed_term = this->claims_end > 0 ? std::optional(this->claims_end - 1) : std::nullopt;
+    return is_takeover_due(this->state.observed_leader(), newest_claimed_term, this->timeouts, boot_clock::now());
+}
+
 void leader_election::read_claims()
 {
     this->store.read_unkeyed(term_topic, this->claims_end,
@@ -126,8 +132,7 @@
         return;
     }
     const bool may_claim_at_once = !this->last_claim || this->last_claim->node() == this->identity.node;
-    const bool is_leader_lost = is_takeover_due(this->state.observed_leader(), this->timeouts, boot_clock::now());
-    if (this->state.is_loaded() && (may_claim_at_once || is_leader_lost))
+    if (this->state.is_loaded() && (may_claim_at_once || this->is_leader_lost()))
         this->append_claim();
     else
         this->schedule_check();
--- a/libraries/node/leader_election.h
+++ b/libraries/node/leader_election.h
@@ -11,7 +11,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
-#include "node/leader.h"
+#include "node/leader_identity.h"
 #include "node/node_state.h"
 
 namespace wigeon {
@@ -21,8 +21,10 @@
     milliseconds resignation_delay; // Delay of a claim after a resignation; differs by node, which spreads the claims.
 };
 
-// Whether the leader resigned or went silent long enough ago. No I/O, no clock.
-bool is_takeover_due(const node_state::leader_liveness& liveness, const election_timeouts& timeouts, boot_time now);
+// Whether the leader resigned or went silent long enough ago. A resignation from a term before `newest_claimed_term`
+// does not count: the successor has claimed and has not recorded anything yet. No I/O, no clock.
+bool is_takeover_due(const node_state::leader_liveness& liveness, std::optional<std::uint64_t> newest_claimed_term,
+                     const election_timeouts& timeouts, boot_time now);
 
 class leader_election : public std::enable_shared_from_this<leader_election> {
 public:
@@ -39,6 +41,7 @@
 
     void schedule_check();
     void check();
+    [[nodiscard]] bool is_leader_lost() const;
     void read_claims();
     void handle_claims(const read_result& result);
     void append_claim();
--- a/tests/node/caller_service_test.cpp
+++ b/tests/node/caller_service_test.cpp
@@ -215,9 +215,9 @@
     node_state::leader_liveness liveness;
     liveness.last_heard = now - milliseconds(5'000);
     liveness.observed_until = now - milliseconds(4'000); // No read has been made since.
-    BOOST_TEST(!is_takeover_due(liveness, timeouts, now));
+    BOOST_TEST(!is_takeover_due(liveness, std::nullopt, timeouts, now));
     liveness.observed_until = now - milliseconds(100);
-    BOOST_TEST(is_takeover_due(liveness, timeouts, now));
+    BOOST_TEST(is_takeover_due(liveness, std::nullopt, timeouts, now));
 }
 
 BOOST_AUTO_TEST_CASE(that_resigned_is_replaced_at_once)
@@ -227,9 +227,26 @@
     node_state::leader_liveness liveness;
     liveness.last_heard = now - milliseconds(50);
     liveness.observed_until = now;
-    BOOST_TEST(!is_takeover_due(liveness, timeouts, now));
+    BOOST_TEST(!is_takeover_due(liveness, std::nullopt, timeouts, now));
     liveness.has_resigned = true;
-    BOOST_TEST(is_takeover_due(liveness, timeouts, now));
+    BOOST_TEST(is_takeover_due(liveness, std::nullopt, timeouts, now));
+}
+
+// A process that starts in the moment between a claim and the new leader's first record reads the claim of the new term
+// and the resignation of the old one.
+BOOST_AUTO_TEST_CASE(that_resigned_and_has_a_successor_is_not_replaced_again)
+{
+    const election_timeouts timeouts{milliseconds(1'600), milliseconds(30)};
+    const boot_time now{milliseconds(100'000)};
+    node_state::leader_liveness liveness;
+    liveness.last_heard = now - milliseconds(50);
+    liveness.observed_until = now;
+    liveness.has_resigned = true;
+    liveness.heartbeat.set_term(7);
+    BOOST_TEST(is_takeover_due(liveness, 7, timeouts, now));
+    BOOST_TEST(!is_takeover_due(liveness, 8, timeouts, now));
+    liveness.last_heard = now - milliseconds(2'000); // The successor is silent, too.
+    BOOST_TEST(is_takeover_due(liveness, 8, timeouts, now));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
