--- a/libraries/node/caller_service.cpp
+++ b/libraries/node/caller_service.cpp
@@ -2,6 +2,7 @@
 
 #include "node/caller_service.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "base/logging.h"
@@ -26,6 +27,9 @@
 
 constexpr milliseconds write_retry_delay{80};
 
+// A caller is answered this long before it stops waiting.
+constexpr milliseconds answer_margin{100};
+
 // A read of a job waits this long for the store. Then a known job is answered from the state held here, and an unknown
 // one as unavailable.
 constexpr milliseconds view_timeout{400};
@@ -56,27 +60,29 @@
 }
 
 void caller_service::submit(const std::string& job, const records::Submission& submission, boot_time now,
-                            std::function<void(write_outcome)> done)
+                            milliseconds patience, std::function<void(write_outcome)> done)
 {
     const job_entry* entry = this->state.jobs().find(job);
     if (entry != nullptr && entry->submission) {
         done(write_outcome::stored);
         return;
     }
-    this->write({job, submission.SerializeAsString()}, now, std::move(done));
+    this->write({job, submission.SerializeAsString()}, now, patience, std::move(done));
 }
 
-void caller_service::cancel(const std::string& job, boot_time now, std::function<void(write_outcome)> done)
+void caller_service::cancel(const std::string& job, boot_time now, milliseconds patience,
+                            std::function<void(write_outcome)> done)
 {
     const job_entry* entry = this->state.jobs().find(job);
     if (entry != nullptr && (entry->is_cancel_requested || entry->is_final())) {
         done(write_outcome::stored);
         return;
     }
-    this->write({make_cancel_key(job), std::string("1")}, now, std::move(done));
+    this->write({make_cancel_key(job), std::string("1")}, now, patience, std::move(done));
 }
 
-void caller_service::write(keyed_record record, boot_time now, std::function<void(write_outcome)> done)
+void caller_service::write(keyed_record record, boot_time now, milliseconds patience,
+                           std::function<void(write_outcome)> done)
 {
     if (this->queued_writes.size() + this->in_flight_writes.size() >= max_pending_writes) {
         count_refusal("write_queue_full");
@@ -88,11 +94,42 @@
         done(write_outcome::refused);
         return;
     }
-    this->queued_writes.push_back({std::move(record), now, false, std::move(done)});
+    this->queued_writes.push_back({++this->write_count, std::move(record), now, false, std::move(done)});
+    if (patience > milliseconds(0))
+        this->answer_in_time(this->write_count, patience);
     if (this->in_flight_writes.empty())
         this->send_batch();
 }
 
+void caller_service::answer_in_time(std::uint64_t number, milliseconds patience)
+{
+    const auto deadline = std::make_shared<boost::asio::steady_timer>(this->timer.get_executor());
+    deadline->expires_after(std::max(patience - answer_margin, milliseconds(0)));
+    deadline->async_wait([self = this->shared_from_this(), deadline, number](const boost::system::error_code& reason) {
+        if (!reason)
+            self->handle_patience_end(number);
+    });
+}
+
+// A write that no append holds, and that none may have stored, is taken back: the caller is told that it did not
+// happen.
+void caller_service::handle_patience_end(std::uint64_t number)
+{
+    const auto has_number = [number](const pending_write& write) { return write.number == number; };
+    const auto in_flight = std::find_if(this->in_flight_writes.begin(), this->in_flight_writes.end(), has_number);
+    if (in_flight != this->in_flight_writes.end()) {
+        if (const auto answer = std::exchange(in_flight->done, nullptr))
+            answer(write_outcome::uncertain);
+        return;
+    }
+    const auto queued = std::find_if(this->queued_writes.begin(), this->queued_writes.end(), has_number);
+    if (queued == this->queued_writes.end())
+        return;
+    const pending_write write = std::move(*queued);
+    this->queued_writes.erase(queued);
+    write.done(write.is_uncertain ? write_outcome::uncertain : write_outcome::refused);
+}
+
 void caller_service::send_batch()
 {
     if (this->queued_writes.empty() || !this->in_flight_writes.empty())
@@ -121,6 +158,8 @@
     std::vector<pending_write> retried;
     std::vector<std::pair<pending_write, write_outcome>> answered;
     for (pending_write& write : completed) {
+        if (!write.done)
+            continue;
         if (result.status == append_status::done) {
             process_metrics().observe_ms("wigeon_write_ms", static_cast<double>((now - write.submitted_at).count()));
             answered.emplace_back(std::move(write), write_outcome::stored);
--- a/libraries/node/caller_service.h
+++ b/libraries/node/caller_service.h
@@ -52,9 +52,11 @@
     [[nodiscard]] access_verdict check_access(const queue_policy& queue, std::string_view key, std::string& account,
                                               boot_time now) const;
 
-    void submit(const std::string& job, const records::Submission& submission, boot_time now,
+    // `patience`: how long the caller waits for the answer; 0: not stated. It is answered in time even if the store is
+    // not.
+    void submit(const std::string& job, const records::Submission& submission, boot_time now, milliseconds patience,
                 std::function<void(write_outcome)> done);
-    void cancel(const std::string& job, boot_time now, std::function<void(write_outcome)> done);
+    void cancel(const std::string& job, boot_time now, milliseconds patience, std::function<void(write_outcome)> done);
     void read(const std::string& job, boot_time now, std::function<void(job_view)> done);
 
     [[nodiscard]] std::size_t count_waiting(std::string_view queue) const;
@@ -68,13 +70,16 @@
 private:
     // A record whose write a caller waits for.
     struct pending_write {
+        std::uint64_t number = 0; // Identifies the write in this process.
         keyed_record record;
         boot_time submitted_at;
-        bool is_uncertain = false; // An append of it got no definite answer, so it may be stored.
-        std::function<void(write_outcome)> done;
+        bool is_uncertain = false;               // An append of it got no definite answer, so it may be stored.
+        std::function<void(write_outcome)> done; // Empty once the caller has been answered.
     };
 
-    void write(keyed_record record, boot_time now, std::function<void(write_outcome)> done);
+    void write(keyed_record record, boot_time now, milliseconds patience, std::function<void(write_outcome)> done);
+    void answer_in_time(std::uint64_t number, milliseconds patience);
+    void handle_patience_end(std::uint64_t number);
     void send_batch();
     void handle_append_result(const append_result& result);
     void schedule_retry();
@@ -85,6 +90,7 @@
     node_state& state;
     caller_service_limits limits;
     circuit_breaker breaker;
+    std::uint64_t write_count = 0;
     std::vector<pending_write> queued_writes;    // Together with in_flight_writes at most max_pending_writes.
     std::vector<pending_write> in_flight_writes; // The batch of the append that has no answer yet.
 };
--- a/libraries/node/node_state.cpp
+++ b/libraries/node/node_state.cpp
@@ -16,10 +16,6 @@
 // twice in that time that there is no newer one.
 constexpr read_timing policy_timing{milliseconds(1'000), milliseconds(0)};
 
-// A node that is asked about a job that it does not know reads the store itself, so this interval bounds a follower's
-// backlog and the age of the number of waiting jobs, which may be 2 s.
-constexpr milliseconds jobs_interval{1'000};
-
 // The leader's reads wait for submissions.
 constexpr read_timing leader_timing{milliseconds(1'000), milliseconds(0)};
 
@@ -166,7 +162,7 @@
       decoder(document_reader),
       max_read_gap(static_cast<std::int64_t>(static_cast<double>(pace.states_interval.count()) * max_gap_intervals)),
       follower_states_timing{milliseconds(0), pace.states_interval, pace.max_reload_delay, true},
-      follower_jobs_timing{milliseconds(0), jobs_interval, pace.max_reload_delay, true},
+      follower_jobs_timing{milliseconds(0), pace.jobs_interval, pace.max_reload_delay, true},
       jobs_topic_consumer(std::make_unique<jobs_consumer>(*this)),
       progress_topic_consumer(std::make_unique<progress_consumer>(*this)),
       states_topic_consumer(std::make_unique<states_consumer>(*this)),
--- a/libraries/node/node_state.h
+++ b/libraries/node/node_state.h
@@ -19,7 +19,8 @@
 
 // How a follower reads what the leader records. The defaults are for hosts that may lead next.
 struct follower_pace {
-    milliseconds states_interval{500}; // Between two reads while no caller asks for more.
+    milliseconds states_interval{500}; // Between two reads of the states of jobs while no caller asks for more.
+    milliseconds jobs_interval{1'000}; // The same for the submissions; it bounds the age of the number of waiting jobs.
     // When the store drops its history, all followers that are behind load the topics anew, each at a random time up to
     // this later.
     milliseconds max_reload_delay{500};
--- a/services/node/main.cpp
+++ b/services/node/main.cpp
@@ -58,8 +58,8 @@
 constexpr milliseconds claim_jitter{200};
 constexpr double strong_host_cpu_share = 0.25;
 
-// Weak hosts, which are many and claim later anyway, read less often what the leader records.
-constexpr follower_pace weak_host_pace{milliseconds(1'000), milliseconds(2'500)};
+// Weak hosts, which are many and claim later anyway, read less often. The number of waiting jobs may be 2 s old.
+constexpr follower_pace weak_host_pace{milliseconds(1'000), milliseconds(2'000), milliseconds(2'500)};
 
 // An idle executor answers a poll at least every 2 s; one poll may be lost.
 constexpr milliseconds max_poll_age{5'000};
--- a/tests/models/scripted_store.cpp
+++ b/tests/models/scripted_store.cpp
@@ -10,6 +10,8 @@
                             const append_condition& condition, std::function<void(append_result)> done)
 {
     ++this->append_calls;
+    if (this->ignores_appends)
+        return;
     append_result result;
     switch (this->append_fault) {
     case store_fault::none:
--- a/tests/models/scripted_store.h
+++ b/tests/models/scripted_store.h
@@ -27,6 +27,7 @@
     store_fault append_fault = store_fault::none;
     store_fault read_fault = store_fault::none;
     bool ignores_long_polls = false; // Reads with a wait time are never answered.
+    bool ignores_appends = false;    // Appends are never answered.
     std::size_t append_calls = 0;
     std::size_t page_size = 2; // Small, so that tests read several pages.
 
--- a/tests/node/caller_service_test.cpp
+++ b/tests/node/caller_service_test.cpp
@@ -57,13 +57,14 @@
         BOOST_REQUIRE(is_done());
     }
 
-    write_outcome submit(const std::string& job)
+    write_outcome submit(const std::string& job, milliseconds patience = milliseconds(0))
     {
         std::optional<write_outcome> outcome;
         records::Submission submission;
         submission.set_queue("q");
         submission.add_steps()->set_count(1);
-        this->service->submit(job, submission, boot_clock::now(), [&](write_outcome result) { outcome = result; });
+        this->service->submit(job, submission, boot_clock::now(), patience,
+                              [&](write_outcome result) { outcome = result; });
         this->run_until([&] { return outcome.has_value(); });
         return *outcome;
     }
@@ -121,12 +122,32 @@
     records::Submission submission;
     submission.set_queue("q");
     this->store.append_fault = store_fault::answer_lost;
-    this->service->submit("job", submission, boot_clock::now(), [&](write_outcome result) { outcome = result; });
+    this->service->submit("job", submission, boot_clock::now(), milliseconds(0),
+                          [&](write_outcome result) { outcome = result; });
     this->store.append_fault = store_fault::refusing;
     this->run_until([&] { return outcome.has_value(); });
     BOOST_TEST((*outcome == write_outcome::uncertain));
 }
 
+// The failure: the store's answers are lost for seconds, and the caller's own deadline passes without an answer.
+BOOST_FIXTURE_TEST_CASE(is_answered_before_its_caller_stops_waiting, caller_fixture)
+{
+    this->store.ignores_appends = true;
+    const boot_time before = boot_clock::now();
+    std::optional<write_outcome> first;
+    records::Submission submission;
+    this->service->submit("first", submission, before, milliseconds(300),
+                          [&](write_outcome result) { first = result; });
+    // The second one waits for the append of the first, so it has certainly not been stored.
+    BOOST_TEST((this->submit("second", milliseconds(200)) == write_outcome::refused));
+    BOOST_TEST((boot_clock::now() - before).count() < 200);
+    BOOST_TEST(!first.has_value());
+    this->run_until([&] { return first.has_value(); });
+    BOOST_TEST((*first == write_outcome::uncertain));
+    BOOST_TEST((boot_clock::now() - before).count() < 300);
+    BOOST_TEST(this->store.append_calls == 1U);
+}
+
 BOOST_FIXTURE_TEST_CASE(sent_again_is_the_same_job, caller_fixture)
 {
     this->submit("job");
--- a/tests/platform/wire_test.cpp
+++ b/tests/platform/wire_test.cpp
@@ -281,6 +281,22 @@
     BOOST_TEST((advice->valid_for == milliseconds(3'000)));
 }
 
+// The failure: the configuration gives a queue an advisor, the settings name none, and the leader's process goes down.
+BOOST_AUTO_TEST_CASE(that_is_not_configured_gives_no_advice)
+{
+    boost::asio::io_context loop;
+    advice_client client(loop, "");
+    BOOST_TEST(!client.is_configured());
+    bool is_answered = false;
+    client.query({}, [&](const std::optional<advice_response>& response) {
+        BOOST_TEST(!response.has_value());
+        is_answered = true;
+    });
+    BOOST_TEST(!is_answered); // Handlers run on the event loop only.
+    loop.run();
+    BOOST_TEST(is_answered);
+}
+
 BOOST_AUTO_TEST_CASE(that_is_busy_or_unreadable_excludes_no_executor)
 {
     BOOST_TEST(!decode_advice(answer(429, "")).has_value());
