Revert: a job of which nothing runs does not wait for its data rack beyond 2 s while cores or memory are free

What it did: where accelerators are short and cores are not, each job that waited 2 s took any place, also away from its data, across racks or on quarantined executors, and held the accelerators several times as long.

Conclusion: the users' rule on jobs of which nothing runs needs a narrower answer (room for the job twice over).

--- a/libraries/dispatch/capacity_table.cpp
+++ b/libraries/dispatch/capacity_table.cpp
@@ -18,7 +18,7 @@
 void capacity_table::build(const executor_registry& registry, milliseconds max_poll_age, boot_time now)
 {
     std::size_t quarantined = 0;
-    this->total = {};
+    this->accelerators = 0;
     this->entries.clear();
     this->row_by_executor.clear();
     for (const auto& [id, target] : registry.all()) {
@@ -34,7 +34,7 @@
         entry.free = target.free_capacity();
         entry.is_quarantined = target.health.is_quarantined(now);
         quarantined += entry.is_quarantined ? 1 : 0;
-        this->total += entry.total;
+        this->accelerators += entry.total.accelerators;
         this->row_by_executor[entry.executor] = this->entries.size();
         this->entries.push_back(entry);
     }
@@ -87,27 +87,12 @@
     }
 }
 
-resources capacity_table::sum_free() const
-{
-    resources free;
-    for (const executor_capacity& entry : this->entries) {
-        free.cpu_millicores += std::max<std::int64_t>(entry.free.cpu_millicores, 0);
-        free.memory_mb += std::max<std::int64_t>(entry.free.memory_mb, 0);
-        free.accelerators += std::max<std::int64_t>(entry.free.accelerators, 0);
-    }
-    return free;
-}
-
 bool capacity_table::is_mostly_idle() const
 {
-    return this->sum_free().accelerators * 2 > this->total.accelerators;
-}
-
-bool capacity_table::is_any_resource_mostly_idle() const
-{
-    const resources free = this->sum_free();
-    return free.cpu_millicores * 2 > this->total.cpu_millicores || free.memory_mb * 2 > this->total.memory_mb ||
-           free.accelerators * 2 > this->total.accelerators;
+    std::int64_t free = 0;
+    for (const executor_capacity& entry : this->entries)
+        free += std::max<std::int64_t>(entry.free.accelerators, 0);
+    return free * 2 > this->accelerators;
 }
 
 std::vector<std::uint32_t> capacity_table::count_present(const job_run& job, const work_unit& unit) const
--- a/libraries/dispatch/capacity_table.h
+++ b/libraries/dispatch/capacity_table.h
@@ -40,9 +40,6 @@
     // Whether more than half of the accelerators are free.
     [[nodiscard]] bool is_mostly_idle() const;
 
-    // Whether more than half of the cores, of the memory or of the accelerators is free.
-    [[nodiscard]] bool is_any_resource_mostly_idle() const;
-
     // Number of tasks of the unit's step on each executor, by row; empty if the step does not limit it.
     [[nodiscard]] std::vector<std::uint32_t> count_present(const job_run& job, const work_unit& unit) const;
 
@@ -58,9 +55,7 @@
 private:
     std::vector<executor_capacity> entries;
     std::map<std::string_view, std::size_t> row_by_executor;
-    [[nodiscard]] resources sum_free() const;
-
-    resources total; // Of all entries, used or not.
+    std::int64_t accelerators = 0; // Of all entries, used or not.
 };
 
 } // namespace wigeon
--- a/libraries/dispatch/dispatcher.cpp
+++ b/libraries/dispatch/dispatcher.cpp
@@ -17,8 +17,8 @@
 // remaining half.
 constexpr std::size_t append_byte_limit = 1'000'000;
 
-// While much of the fleet is idle, a unit waits at most this long for the executors that suit it best. Users allow 3 s
-// for a job of which nothing runs.
+// While much of the fleet is idle, a unit waits at most this long for the executors that suit it best. Users allow
+// 3 s.
 constexpr milliseconds relaxed_placement_wait{2'000};
 
 // A stall takes seconds to detect, so it is not checked in every round.
@@ -146,14 +146,6 @@
     });
 }
 
-// Whether the unit need not wait any longer for suitable executors. Of a job of which something runs, the others go on
-// waiting where only the accelerators are in short supply: a poor place costs them more than the wait.
-bool dispatcher::may_relax(const job_run& job) const
-{
-    return this->capacities.is_mostly_idle() ||
-           (job.unresolved_tasks == 0 && this->capacities.is_any_resource_mostly_idle());
-}
-
 // Allows several racks and executors that are quarantined or on which the unit failed: a slow or risky run is better
 // than none.
 std::optional<std::vector<std::size_t>> dispatcher::find_relaxed_places(placement_need need,
@@ -174,7 +166,8 @@
     this->advice.mark_permitted(this->capacities, job, unit, now);
     this->capacities.mark_avoided(unit, need);
     auto places = this->is_known_not_to_fit(need) ? std::nullopt : find_places(need, this->capacities.all(), present);
-    if (!places && now - unit.waiting_since >= relaxed_placement_wait && this->may_relax(job))
+    // The unit has waited for suitable executors although much of the fleet is idle.
+    if (!places && now - unit.waiting_since >= relaxed_placement_wait && this->capacities.is_mostly_idle())
         places = this->find_relaxed_places(need, present);
     if (!places) {
         this->advice.prepare_request(this->capacities, job, unit, need, waiting.rank <= work_rank::urgent);
--- a/libraries/dispatch/dispatcher.h
+++ b/libraries/dispatch/dispatcher.h
@@ -127,7 +127,6 @@
 private:
     static placement_need make_need(const job_run& job, const work_unit& unit, boot_time now);
     [[nodiscard]] bool is_known_not_to_fit(const placement_need& need) const;
-    [[nodiscard]] bool may_relax(const job_run& job) const;
     [[nodiscard]] std::optional<std::vector<std::size_t>> find_relaxed_places(placement_need need,
                                                                               present_counts present) const;
     void place_step(const waiting_step& waiting, boot_time now);
