Name the caller's time limit and the last append that followers read by the field's terms

Cause: read as a newcomer, 'patience' and 'sign of life' are figures of speech. Ruled out: a new constant or default. Checks: caller_service_story, progress_recorder_story, dispatcher_story green; formatter and linter of the three files clean.

--- a/libraries/node/caller_service.cpp
+++ b/libraries/node/caller_service.cpp
@@ -60,17 +60,17 @@
 }
 
 void caller_service::submit(const std::string& job, const records::Submission& submission, boot_time now,
-                            milliseconds patience, std::function<void(write_outcome)> done)
+                            milliseconds caller_timeout, std::function<void(write_outcome)> done)
 {
     const job_entry* entry = this->state.jobs().find(job);
     if (entry != nullptr && entry->submission) {
         done(write_outcome::stored);
         return;
     }
-    this->write({job, submission.SerializeAsString()}, now, patience, std::move(done));
+    this->write({job, submission.SerializeAsString()}, now, caller_timeout, std::move(done));
 }
 
-void caller_service::cancel(const std::string& job, boot_time now, milliseconds patience,
+void caller_service::cancel(const std::string& job, boot_time now, milliseconds caller_timeout,
                             std::function<void(write_outcome)> done)
 {
     const job_entry* entry = this->state.jobs().find(job);
@@ -78,10 +78,10 @@
         done(write_outcome::stored);
         return;
     }
-    this->write({make_cancel_key(job), std::string("1")}, now, patience, std::move(done));
+    this->write({make_cancel_key(job), std::string("1")}, now, caller_timeout, std::move(done));
 }
 
-void caller_service::write(keyed_record record, boot_time now, milliseconds patience,
+void caller_service::write(keyed_record record, boot_time now, milliseconds caller_timeout,
                            std::function<void(write_outcome)> done)
 {
     if (this->queued_writes.size() + this->in_flight_writes.size() >= max_pending_writes) {
@@ -95,25 +95,25 @@
         return;
     }
     this->queued_writes.push_back({++this->write_count, std::move(record), now, false, std::move(done)});
-    if (patience > milliseconds(0))
-        this->answer_in_time(this->write_count, patience);
+    if (caller_timeout > milliseconds(0))
+        this->answer_in_time(this->write_count, caller_timeout);
     if (this->in_flight_writes.empty())
         this->send_batch();
 }
 
-void caller_service::answer_in_time(std::uint64_t number, milliseconds patience)
+void caller_service::answer_in_time(std::uint64_t number, milliseconds caller_timeout)
 {
     const auto deadline = std::make_shared<boost::asio::steady_timer>(this->timer.get_executor());
-    deadline->expires_after(std::max(patience - answer_margin, milliseconds(0)));
+    deadline->expires_after(std::max(caller_timeout - answer_margin, milliseconds(0)));
     deadline->async_wait([self = this->shared_from_this(), deadline, number](const boost::system::error_code& reason) {
         if (!reason)
-            self->handle_patience_end(number);
+            self->handle_caller_timeout(number);
     });
 }
 
 // A write that no append holds, and that none may have stored, is taken back: the caller is told that it did not
 // happen.
-void caller_service::handle_patience_end(std::uint64_t number)
+void caller_service::handle_caller_timeout(std::uint64_t number)
 {
     const auto has_number = [number](const pending_write& write) { return write.number == number; };
     const auto in_flight = std::find_if(this->in_flight_writes.begin(), this->in_flight_writes.end(), has_number);
--- a/libraries/node/caller_service.h
+++ b/libraries/node/caller_service.h
@@ -52,11 +52,12 @@
     [[nodiscard]] access_verdict check_access(const queue_policy& queue, std::string_view key, std::string& account,
                                               boot_time now) const;
 
-    // `patience`: how long the caller waits for the answer; 0: not stated. It is answered in time even if the store is
-    // not.
-    void submit(const std::string& job, const records::Submission& submission, boot_time now, milliseconds patience,
+    // `caller_timeout`: how long the caller waits for the answer; 0: not stated. It is answered in time even if the
+    // store is not.
+    void submit(const std::string& job, const records::Submission& submission, boot_time now,
+                milliseconds caller_timeout, std::function<void(write_outcome)> done);
+    void cancel(const std::string& job, boot_time now, milliseconds caller_timeout,
                 std::function<void(write_outcome)> done);
-    void cancel(const std::string& job, boot_time now, milliseconds patience, std::function<void(write_outcome)> done);
     void read(const std::string& job, boot_time now, std::function<void(job_view)> done);
 
     [[nodiscard]] std::size_t count_waiting(std::string_view queue) const;
@@ -77,9 +78,10 @@
         std::function<void(write_outcome)> done; // Empty once the caller has been answered.
     };
 
-    void write(keyed_record record, boot_time now, milliseconds patience, std::function<void(write_outcome)> done);
-    void answer_in_time(std::uint64_t number, milliseconds patience);
-    void handle_patience_end(std::uint64_t number);
+    void write(keyed_record record, boot_time now, milliseconds caller_timeout,
+               std::function<void(write_outcome)> done);
+    void answer_in_time(std::uint64_t number, milliseconds caller_timeout);
+    void handle_caller_timeout(std::uint64_t number);
     void send_batch();
     void handle_append_result(const append_result& result);
     void schedule_retry();
--- a/libraries/node/progress_recorder.cpp
+++ b/libraries/node/progress_recorder.cpp
@@ -81,12 +81,12 @@
 
 bool progress_recorder::is_heartbeat_due(boot_time now) const
 {
-    return now - this->last_sign_of_life >= heartbeat_interval;
+    return now - this->last_followed_append >= heartbeat_interval;
 }
 
 void progress_recorder::send_heartbeat(boot_time now, handler done)
 {
-    this->last_sign_of_life = now;
+    this->last_followed_append = now;
     this->append_all({{this->followed_writer().shared_from_this(), {this->make_heartbeat(false)}}}, std::move(done));
 }
 
@@ -129,7 +129,7 @@
     if (!units.empty())
         all.push_back({this->unit_writer, std::move(units)});
     if (!followed.empty()) {
-        this->last_sign_of_life = now;
+        this->last_followed_append = now;
         all.push_back({this->followed_writer().shared_from_this(), std::move(followed)});
     }
     if (all.empty())
--- a/libraries/node/progress_recorder.h
+++ b/libraries/node/progress_recorder.h
@@ -81,7 +81,7 @@
     std::size_t unanswered_appends = 0;
     handler on_appended;
     std::map<std::string, records::JobPhase> unsent_phases; // Not final.
-    boot_time last_sign_of_life;                            // When the last append to the followed topic was begun.
+    boot_time last_followed_append;                         // When the last append to the followed topic was begun.
 };
 
 } // namespace wigeon
--- a/tests/node/caller_service_test.cpp
+++ b/tests/node/caller_service_test.cpp
@@ -57,13 +57,13 @@
         BOOST_REQUIRE(is_done());
     }
 
-    write_outcome submit(const std::string& job, milliseconds patience = milliseconds(0))
+    write_outcome submit(const std::string& job, milliseconds caller_timeout = milliseconds(0))
     {
         std::optional<write_outcome> outcome;
         records::Submission submission;
         submission.set_queue("q");
         submission.add_steps()->set_count(1);
-        this->service->submit(job, submission, boot_clock::now(), patience,
+        this->service->submit(job, submission, boot_clock::now(), caller_timeout,
                               [&](write_outcome result) { outcome = result; });
         this->run_until([&] { return outcome.has_value(); });
         return *outcome;
