--- a/review/stand_ins/deployment.py
+++ b/review/stand_ins/deployment.py
@@ -77,9 +77,10 @@
             "platform": {"address": f"127.0.0.1:{self.store_port}", "form": "log", "writes-per-s": 600,
                          "reads-per-s": 2000, "parts": 8, "append-ms": 4.0, "part-mb-per-s": 20.0,
                          "read-mb-per-s": 80.0, "record-bytes": 262144, "call-bytes": 2097152, "keep_s": 300,
-                         "part-mb": 200, "ttl-min-ms": 1000}}
-        with open(path, "w", encoding="utf-8") as file:
+                         "part-mb": 200, "ttl-min-ms": 1000}, **self.deployment.settings}
+        with open(path + ".new", "w", encoding="utf-8") as file:
             json.dump(settings, file)
+        os.replace(path + ".new", path)
         return path
 
     async def run(self):
@@ -107,6 +108,10 @@
         self.process.send_signal(signal.SIGKILL)
         self.deployment.log("node_killed", node=self.name)
 
+    def hang_up(self):
+        self.process.send_signal(signal.SIGHUP)
+        self.deployment.log("hang_up", node=self.name)
+
     async def is_leading(self):
         status, body = await call(self.metrics, "GET", "/metrics", timeout=1.0)
         return status == 200 and b"wigeon_leading 1" in body
@@ -125,6 +130,7 @@
         self.nodes = []
         self.tasks = []
         self.version = 0
+        self.settings = {}  # Further fields of the settings files.
         self.history = []  # ("start", task, run) and ("end", task, run, how), in their order.
 
     def log(self, event, **fields):
@@ -148,14 +154,16 @@
             self.tasks.append(asyncio.create_task(node.run()))
 
     def configure(self, routes, services=("huvo11a",)):
-        """Publishes a configuration. A route is (name, path prefix, service, priority, max-attempts)."""
+        """Publishes a configuration. A route is (name, path prefix, service, priority, max-attempts), and, where it
+        has it, its advice."""
         self.version += 1
         config = {
             "version": self.version,
             "routes": [{"name": name, "host": HOST, "path-prefix": prefix, "kind": "unsafe", "timeout-ms": 3000,
                         "target-duration-ms": 3000, "priority": priority, "service": service,
-                        "max-attempts": attempts, "stretch": 3.0, "public": False}
-                       for name, prefix, service, priority, attempts in routes],
+                        "max-attempts": attempts, "stretch": 3.0, "public": False,
+                        **({"advice": advice[0]} if advice else {})}
+                       for name, prefix, service, priority, attempts, *advice in routes],
             "services": [{"name": name, "health-path": "/healthz", "max-conns": 64, "protocol": "h1", "tls": False,
                           "preconditions": False, "spare": False} for name in services],
             "limits": {"max-header-bytes": 16384, "max-body-bytes": 262144, "header-timeout-ms": 3000,
--- a/review/stand_ins/executors.py
+++ b/review/stand_ins/executors.py
@@ -23,6 +23,7 @@
         self.fleet, self.name, self.port, self.service = fleet, name, port, service
         self.labels, self.headroom = labels, headroom
         self.reaches_store = True
+        self.refuses_starts = False  # Answers orders to start with 503, having done nothing.
         self.last_write = None
         self.server = Server(self.serve)
         self.begin_life()
@@ -110,6 +111,9 @@
 
     def start_run(self, call):
         task, number = call["task"], call["run"]
+        if self.refuses_starts:
+            self.fleet.log("start_refused", executor=self.name, task=task, run=number)
+            return self.answer(503)
         if call["deadline-ms"] <= self.clock():
             return self.answer(409, reason="late")
         self.extend(call["deadline-ms"])
