--- a/review/stand_ins/executors.py
+++ b/review/stand_ins/executors.py
@@ -9,6 +9,7 @@
 
 HEARTBEAT_S = 1.5
 STOP_S = 0.05
+FAULT_S = 0.3
 ENDS_PER_ANSWER = 500
 
 
@@ -23,6 +24,7 @@
         self.fleet, self.name, self.port, self.service = fleet, name, port, service
         self.labels, self.headroom = labels, headroom
         self.reaches_store = True
+        self.fails_runs = False  # All that it starts ends `failed` after a short while.
         self.refuses_starts = False  # Answers orders to start with 503, having done nothing.
         self.last_write = None
         self.server = Server(self.serve)
@@ -124,8 +126,10 @@
             return self.answer(409, reason="old")
         work = re.search(r"work=(\d+)", call["spec"])
         fails = re.search(r"fail=(\d+)", call["spec"])
-        self.running[task] = Run(task, number, int(work.group(1)) / 1000, int(fails.group(1)) if fails else 0,
-                                 time.monotonic())
+        run = Run(task, number, int(work.group(1)) / 1000, int(fails.group(1)) if fails else 0, time.monotonic())
+        if self.fails_runs:
+            run.work, run.fails = FAULT_S, number
+        self.running[task] = run
         self.fleet.handle_start(self, task, number, call)
         return self.answer(200)
 
