--- a/review/stand_ins/deployment.py
+++ b/review/stand_ins/deployment.py
@@ -73,7 +73,7 @@
                        "disk-mb": 0},
             "data-dir": None, "discovery": "platform", "entry": "vip", "heartbeat-ms": 1500,
             "contracts": ["base", "drain", "config", "cost", "recover", "sched", "tenants", "platform"],
-            "fault-tolerance": {"machines": 2, "zones": 0, "regions": 0}, "bounds": BOUNDS, "control-mode": "call",
+            "fault-tolerance": {"machines": 2, "zones": 0, "regions": 0}, "bounds": self.deployment.bounds, "control-mode": "call",
             "platform": {"address": f"127.0.0.1:{self.store_port}", "form": "log", "writes-per-s": 600,
                          "reads-per-s": 2000, "parts": 8, "append-ms": 4.0, "part-mb-per-s": 20.0,
                          "read-mb-per-s": 80.0, "record-bytes": 262144, "call-bytes": 2097152, "keep_s": 300,
@@ -130,6 +130,7 @@
         self.nodes = []
         self.tasks = []
         self.version = 0
+        self.bounds = dict(BOUNDS)
         self.settings = {}  # Further fields of the settings files.
         self.history = []  # ("start", task, run) and ("end", task, run, how), in their order.
 
--- a/review/stand_ins/executors.py
+++ b/review/stand_ins/executors.py
@@ -163,6 +163,14 @@
         executor.last_write = time.monotonic()
         self.store.put("keyed.servers", executor.name, executor.entry())
 
+    def lose(self, name):
+        """The executor is killed for good; its entry goes after three heartbeat intervals of silence."""
+        executor = self.executors[name]
+        executor.reaches_store = False
+        executor.running.clear()
+        executor.server.close()
+        self.log("executor_lost", executor=name, last_write_s_ago=round(time.monotonic() - executor.last_write, 2))
+
     def handle_start(self, executor, task, number, call):
         elsewhere = [other.name for other in self.executors.values()
                      if other is not executor and task in other.running]
