--- a/review/2/case.py
+++ b/review/2/case.py
@@ -46,7 +46,7 @@
     for line in case.history:
         if line[0] == "end" and line[3] == "done":
             ended.setdefault(line[1], line[2])
-        elif line[0] == "start" and line[1] in ended and line[1] in case.fleet.noted_done:
+        elif line[0] == "start" and line[1] in ended and (line[1], ended[line[1]]) in case.fleet.noted_done:
             again.append((line[1], line[2]))
     case.log("summary", states=states, started_again_after_done=len(again), examples=again[:5],
              overlaps=case.fleet.overlaps[:5])
--- a/review/stand_ins/executors.py
+++ b/review/stand_ins/executors.py
@@ -2,10 +2,11 @@
 spec of a job tells how its tasks behave: "work=MS", and "fail=N" for the first N runs of each task that end `failed`."""
 import asyncio
 import json
+import random
 import re
 import time
 
-from http_stand_in import Server
+from http_stand_in import Server, Silent
 
 HEARTBEAT_S = 1.5
 STOP_S = 0.05
@@ -24,6 +25,7 @@
         self.fleet, self.name, self.port, self.service = fleet, name, port, service
         self.labels, self.headroom = labels, headroom
         self.reaches_store = True
+        self.late_share = 0.0  # Of the orders to start: unanswered, and carried out seconds later.
         self.fails_runs = False  # All that it starts ends `failed` after a short while.
         self.refuses_starts = False  # Answers orders to start with 503, having done nothing.
         self.last_write = None
@@ -86,6 +88,9 @@
         if target == "/hold":
             return await self.hold(call)
         if target == "/run-start":
+            if random.random() < self.late_share:
+                asyncio.get_running_loop().call_later(random.uniform(2, 12), self.start_late, call, self.born)
+                raise Silent()
             return self.start_run(call)
         if target == "/run-stop":
             return self.stop_run(call)
@@ -111,6 +116,12 @@
                    for run in self.running.values()]
         return self.answer(200, running=running, ended=self.ended[:ENDS_PER_ANSWER])
 
+    def start_late(self, call, born):
+        """Carries out an order that was left unanswered, as the life that got it, if that still lasts."""
+        self.advance()
+        if born == self.born and call.get("fencing-token", 0) >= self.token:
+            self.start_run(call)
+
     def start_run(self, call):
         task, number = call["task"], call["run"]
         if self.refuses_starts:
@@ -149,7 +160,7 @@
         self.store, self.log, self.hold_max_ms = store, log, hold_max_ms
         self.executors = {}
         self.noted_ends = set()
-        self.noted_done = {}  # Task -> (executor, run) of a `done` end that was taken note of.
+        self.noted_done = set()  # (task, run) of the `done` ends that were taken note of.
         self.starts = []  # (time, executor, task, run).
         self.overlaps = []  # Starts of a task that was at work elsewhere.
 
@@ -171,6 +182,21 @@
         executor.server.close()
         self.log("executor_lost", executor=name, last_write_s_ago=round(time.monotonic() - executor.last_write, 2))
 
+    async def restart(self, name, down_s):
+        """The executor is killed and starts again under its id."""
+        executor = self.executors[name]
+        executor.running.clear()
+        executor.server.close()
+        executor.reaches_store = False
+        self.log("executor_killed", executor=name, down_s=down_s)
+        await asyncio.sleep(down_s)
+        executor.begin_life()
+        executor.server = Server(executor.serve)
+        await executor.server.start(executor.port)
+        executor.reaches_store = True
+        self.register(executor)
+        self.log("executor_back", executor=name)
+
     def handle_start(self, executor, task, number, call):
         elsewhere = [other.name for other in self.executors.values()
                      if other is not executor and task in other.running]
@@ -182,7 +208,8 @@
 
     def handle_noted(self, name, end):
         if end[3] == "done":
-            self.noted_done.setdefault(end[1], (name, end[2]))
+            self.noted_done.add((end[1], end[2]))
+            self.log("done_noted", executor=name, task=end[1], run=end[2])
 
     async def tick(self):
         """Ends runs in time, and writes the executors' entries as they would do themselves."""
