--- a/review/stand_ins/deployment.py
+++ b/review/stand_ins/deployment.py
@@ -17,6 +17,7 @@
 
 REPOSITORY = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 RESTART_S = 0.5
+HELD, BROKEN, COULD_NOT_RUN = 0, 11, 2
 HOST = "nony24.example"
 KEY = "d4a3hwrr6x73d3zji9n7"
 BOUNDS = {"seed-lag-s": 3, "reuse-after-s": 2, "contact-ms": 3000, "ack-ms": 4000, "catch-up-s": 4, "drain-ms": 2000,
@@ -129,6 +130,7 @@
         self.fleet = Fleet(self.store, self.log)
         self.nodes = []
         self.tasks = []
+        self.node_tasks = []
         self.version = 0
         self.bounds = dict(BOUNDS)
         self.settings = {}  # Further fields of the settings files.
@@ -152,7 +154,7 @@
             await self.fleet.add(port=first + 4 * node_count + row, **executor)
         self.tasks.append(asyncio.create_task(self.fleet.tick()))
         for node in self.nodes:
-            self.tasks.append(asyncio.create_task(node.run()))
+            self.node_tasks.append(asyncio.create_task(node.run()))
 
     def configure(self, routes, services=("huvo11a",)):
         """Publishes a configuration. A route is (name, path prefix, service, priority, max-attempts), and, where it
@@ -211,21 +213,23 @@
         return json.loads(answer).get("state") if status == 200 else str(status)
 
     async def stop(self):
+        """Ends all processes that were started, also one that is being started just now."""
         for node in self.nodes:
             node.is_stopping = True
-            if node.process is not None and node.process.returncode is None:
-                try:
-                    node.process.send_signal(signal.SIGCONT)
-                    node.process.kill()
-                    await node.process.wait()
-                except ProcessLookupError:
-                    pass
+        while not all(task.done() for task in self.node_tasks):
+            for node in self.nodes:
+                if node.process is not None and node.process.returncode is None:
+                    try:
+                        node.process.kill()
+                    except ProcessLookupError:
+                        pass
+            await asyncio.sleep(0.05)
         for task in self.tasks:
             task.cancel()
 
 
 def run_case(script, limit_s=115):
-    """Runs the script; returns 0 if the rule held, 1 if it was broken, 2 if the case couldn't run."""
+    """Runs the script and returns the exit code for run.sh."""
     case_folder = os.path.dirname(os.path.abspath(sys.argv[0]))
     folder = tempfile.mkdtemp()
 
@@ -233,15 +237,17 @@
         with open(os.path.join(case_folder, "record.txt"), "w", encoding="utf-8") as record:
             deployment = Deployment(folder, record)
             deployment.log("case", trouble=deployment.trouble)
+            for signal_number in (signal.SIGTERM, signal.SIGINT):
+                asyncio.get_running_loop().add_signal_handler(signal_number, asyncio.current_task().cancel)
             try:
                 held = await asyncio.wait_for(script(deployment), limit_s)
                 deployment.log("result", held=held)
                 print("held" if held else "broken", "(with the disruption)" if deployment.trouble else "(without)")
-                return 0 if held else 1
-            except Exception as failure:  # The case couldn't run, whatever the reason.
+                return HELD if held else BROKEN
+            except (Exception, asyncio.CancelledError) as failure:  # The case couldn't run, whatever the reason.
                 deployment.log("could_not_run", reason=repr(failure))
                 print("the case couldn't run:", repr(failure))
-                return 2
+                return COULD_NOT_RUN
             finally:
                 await deployment.stop()
     try:
