An entry of another writer whose address is no IP address is skipped

Cause: the decoder of entries took every "host:port", the HTTP client IP addresses only. Its constructor threw out of the first poll, nothing below main() caught that, and the process ended; restarted, it claimed the term again at once.

Evidence: exit code 2 and "not an IP address: cache-7.example" in the output of the process. The new decoder test was seen to fail before the fix, and so were the node stories, whose directory now holds such an entry (no job was started).

Why this works: decoder and client share one parser, so what is listed can be called. Entries that can't be called are skipped with a reason, as PROTOCOL.md asks. Settings and the other decoders were read for the same cause: a bad store address is refused on reload, and all other input is decoded where errors are caught.

--- a/libraries/net/http_client.cpp
+++ b/libraries/net/http_client.cpp
@@ -10,8 +10,7 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 
-#include "base/address.h"
-#include "base/error_kind.h"
+#include "net/ip_endpoint.h"
 
 namespace wigeon {
 
@@ -178,13 +177,7 @@
 
 http_client::http_client(asio::io_context& loop, const std::string& address, connection_limits limits)
 {
-    const host_port peer = parse_address(address);
-    error_code reason;
-    const auto ip = asio::ip::make_address(peer.host, reason);
-    if (reason)
-        throw error(error_kind::malformed_request, "not an IP address: " + peer.host);
-    this->connections =
-        std::make_shared<pool>(loop, asio::ip::tcp::endpoint(ip, static_cast<std::uint16_t>(peer.port)), limits);
+    this->connections = std::make_shared<pool>(loop, parse_ip_endpoint(address), limits);
 }
 
 http_client::~http_client() = default;
--- a/tests/platform/wire_test.cpp
+++ b/tests/platform/wire_test.cpp
@@ -1,5 +1,6 @@
 // Tests of the encoders and decoders of the platform's wire formats.
 
+#include <boost/asio/io_context.hpp>
 #include <boost/test/unit_test.hpp>
 
 #include "base/error_kind.h"
@@ -30,6 +31,12 @@
     return text.replace(text.find(part), part.size(), "");
 }
 
+std::string make_executor_document(const std::string& address)
+{
+    return R"({"service":"s","address":")" + address +
+           R"(","zone":"z","state":"ready","headroom":{"cpu":1,"mem-mb":2,"gpu":3},"labels":["a","r1-3"],"born":5})";
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(platform_wire_story)
@@ -202,9 +209,7 @@
 BOOST_AUTO_TEST_CASE(with_a_malformed_entry_are_skipped_with_the_reason)
 {
     const json_document_decoder documents;
-    const std::string whole =
-        R"({"service":"s","address":"10.0.0.1:80","zone":"z","state":"ready","headroom":{"cpu":1,"mem-mb":2,"gpu":3},)"
-        R"("labels":["a","r1-3"],"born":5})";
+    const std::string whole = make_executor_document("10.0.0.1:80");
     std::string problem;
     const auto entry = documents.decode_executor("e", whole, problem);
     BOOST_REQUIRE(entry.has_value());
@@ -219,6 +224,32 @@
     BOOST_TEST(!documents.decode_executor("e", "\xff\xfe", problem).has_value());
 }
 
+// Guards against an entry of another writer that ends the leading process: no connection can be made to its address.
+BOOST_AUTO_TEST_CASE(whose_entry_has_no_ip_address_are_skipped_with_the_reason)
+{
+    const json_document_decoder documents;
+    for (const char* address : {"cache-7.example:11211", "localhost:80", "10.0.0.256:80", "10.0.0:80", " 10.0.0.1:80",
+                                "10.0.0.1:", "10.0.0.1", ":80", "[::1]:80"}) {
+        std::string problem;
+        const auto entry = documents.decode_executor("e", make_executor_document(address), problem);
+        BOOST_TEST(!entry.has_value(), address);
+        BOOST_TEST(problem.find(address) != std::string::npos, problem);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(can_be_called_at_every_address_that_an_entry_may_have)
+{
+    const json_document_decoder documents;
+    boost::asio::io_context loop;
+    executor_client client(loop);
+    for (const char* address : {"10.0.0.1:80", "127.0.0.1:0", "::1:80", "255.255.255.255:65535"}) {
+        std::string problem;
+        const auto entry = documents.decode_executor("e", make_executor_document(address), problem);
+        BOOST_REQUIRE(entry.has_value());
+        BOOST_CHECK_NO_THROW(client.poll({"e", entry->address}, {}, [](const poll_result&) {}));
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(configurations)
--- a/tests/stand_ins/node_platform.cpp
+++ b/tests/stand_ins/node_platform.cpp
@@ -106,6 +106,7 @@
             this->executor_listeners.back()->start("127.0.0.1:" + std::to_string(first_port + row));
         }
         this->publish_policy();
+        this->publish_foreign_entry();
         this->publish_executors();
     }
 
@@ -143,6 +144,14 @@
         });
     }
 
+    // An entry of another writer in the directory: well formed, but no executor. It must not disturb any node.
+    void publish_foreign_entry()
+    {
+        this->append_keyed("keyed.servers", "cache-7",
+                           R"({"service":"render-cache","address":"cache-7.example:11211","zone":"z","state":"ready",)"
+                           R"("headroom":{"cpu":16000,"mem-mb":32768,"gpu":0},"labels":["a","r0"]})");
+    }
+
     // The advisor authorizes only executors with an even number.
     static std::string make_ticket(const std::string& step, const std::string& executor)
     {
