Nothing is concluded about tasks that a full list of ends may have left out

Cause: an executor lists at most 500 ends in one answer. The tracker took a task that was neither running nor among the listed ends for one that had never started, stopped it and placed it again.

Why this works: the adapter, which knows the size of the list, marks a report as possibly incomplete; from such a report only what it lists is applied. What it lacks stays placed, with its lease, until the store has recorded the listed ends and the executor lists the others. Stops that were acknowledged before are treated the same way.

--- a/libraries/dispatch/executor_registry.h
+++ b/libraries/dispatch/executor_registry.h
@@ -65,6 +65,7 @@
     milliseconds clock{0};            // The executor's own steady clock.
     std::vector<running_task> running;
     std::vector<ended_task> ended;
+    bool may_omit_ends = false; // The list of ends is as long as an answer may be, so more ends may follow.
 };
 
 struct executor {
--- a/libraries/dispatch/run_tracker.cpp
+++ b/libraries/dispatch/run_tracker.cpp
@@ -429,7 +429,15 @@
             running.push_back(std::move(*known));
     }
     this->registry.apply_poll_report(source, report, sent_at, now);
+    // A task that is not listed may be one whose end was left out.
+    if (!report.may_omit_ends)
+        this->stop_missing_tasks(source, running, sent_at, now);
+}
 
+// Handles the tasks that a complete report lists neither as running nor as ended.
+void run_tracker::stop_missing_tasks(const executor& source, std::span<const task_reference> running, boot_time sent_at,
+                                     boot_time now)
+{
     const auto indexed = this->tasks_by_executor.find(source.entry.id);
     if (indexed == this->tasks_by_executor.end())
         return;
@@ -443,7 +451,7 @@
         const bool is_reported = std::find(running.begin(), running.end(), reference) != running.end();
         if (is_reported || task->phase == task_phase::ordered)
             continue;
-        // Neither running nor ended. After an acknowledged stop, no start order in flight can start the task any more.
+        // After an acknowledged stop, no start order in flight can start the task any more.
         if (task->stop_acknowledged_at &&
             sent_at > *task->stop_acknowledged_at + this->max_stop_time + stop_confirmation_margin)
             this->resolve(*job, *unit, *task, now);
--- a/libraries/dispatch/run_tracker.h
+++ b/libraries/dispatch/run_tracker.h
@@ -78,6 +78,8 @@
     void apply_task_end(executor& source, const ended_task& ended, boot_time now);
     std::optional<task_reference> apply_running_task(const executor& source, const running_task& reported,
                                                      std::uint64_t incarnation_ms, boot_time sent_at, boot_time now);
+    void stop_missing_tasks(const executor& source, std::span<const task_reference> running, boot_time sent_at,
+                            boot_time now);
     void record_failure(job_run& job, work_unit& unit, executor& source, boot_time now);
     void finish_unit(job_run& job, work_unit& unit, boot_time now);
     void end_job(job_run& job, records::JobPhase phase, boot_time now);
--- a/tests/dispatch/leader_property_test.cpp
+++ b/tests/dispatch/leader_property_test.cpp
@@ -1,6 +1,7 @@
 // Runs one leader after another against a model of the fleet under random faults: changes of leader, executors that
-// fail, restart or are partitioned, and orders and answers that are late or lost. The records of units and of phases
-// are separate appends, of which a leader that is replaced may have completed one, both or none. Checks that
+// fail, restart or are partitioned, orders and answers that are late or lost, and appends that take seconds, so that
+// executors have more ends to report than one answer lists. The records of units and of phases are separate appends, of
+// which a leader that is replaced may have completed one, both or none. Checks that
 // - no task runs twice at once, or starts after its recorded end, before the steps that it depends on, after its last
 //   attempt or after its job was cancelled;
 // - no executor is overcommitted;
@@ -26,6 +27,8 @@
 constexpr milliseconds poll_interval{200};
 constexpr milliseconds max_delay{30};         // Of a message or an append that is not late.
 constexpr std::uint32_t directory_ticks = 30; // Mean number of ticks between two reads of the directory.
+constexpr milliseconds store_outage{3'000};
+constexpr fleet_limits executor_limits{.max_listed_ends = 2};
 constexpr milliseconds fault_time{30'000};
 constexpr milliseconds recovery_time{60'000};
 
@@ -50,7 +53,7 @@
 class fault_scenario {
 public:
     fault_scenario(std::uint64_t seed, progress_format record_format)
-        : random(seed), format(record_format), fleet(fleet_limits{})
+        : random(seed), format(record_format), fleet(executor_limits)
     {
         for (int row = 0; row < 8; ++row) {
             executor_entry entry;
@@ -283,7 +286,8 @@
             return;
         this->is_append_in_flight = true;
         const std::uint64_t sender_term = this->term;
-        this->schedule(this->draw_delay(), [this, changes, sender_term] {
+        const milliseconds outage = this->has_faults && this->draw(200) == 0 ? store_outage : milliseconds(0);
+        this->schedule(outage + this->draw_delay(), [this, changes, sender_term] {
             if (this->term != sender_term)
                 return;
             for (const dispatch_changes::job_record& record : changes.records)
@@ -295,14 +299,14 @@
                     this->units.erase(record.key);
             }
         });
-        this->schedule(this->draw_delay(), [this, changes, sender_term] {
+        this->schedule(outage + this->draw_delay(), [this, changes, sender_term] {
             if (this->term != sender_term)
                 return;
             for (const dispatch_changes::phase_record& record : changes.phases)
                 this->progress[record.job].set_phase(record.phase);
         });
         // Both delays above are at most this long.
-        this->schedule(max_delay, [this, changes = std::move(changes), sender_term] {
+        this->schedule(outage + max_delay, [this, changes = std::move(changes), sender_term] {
             this->schedule(this->draw_delay(), [this, changes, sender_term] {
                 if (this->term != sender_term)
                     return;
--- a/tests/dispatch/run_tracker_test.cpp
+++ b/tests/dispatch/run_tracker_test.cpp
@@ -59,7 +59,7 @@
     }
 
     void poll(const std::string& id, std::vector<running_task> running, std::vector<ended_task> ended,
-              std::uint64_t incarnation_ms = 7)
+              std::uint64_t incarnation_ms = 7, bool may_omit_ends = false)
     {
         this->now += milliseconds(10);
         this->clock += milliseconds(10);
@@ -68,6 +68,7 @@
         report.clock = this->clock;
         report.running = std::move(running);
         report.ended = std::move(ended);
+        report.may_omit_ends = may_omit_ends;
         const boot_time sent = this->now;
         this->now += milliseconds(10);
         this->tracker.apply_poll_report(*this->registry.find(id), report, sent, this->now);
@@ -186,6 +187,32 @@
     BOOST_TEST(planned[0].reference.run == 2U);
 }
 
+// Guards against a second start of tasks that ended while the store was away: the executor had more ends to report than
+// one answer holds, and those that the answer left out were taken for runs that never started.
+BOOST_FIXTURE_TEST_CASE(that_an_answer_left_out_for_its_size_is_waited_for, tracker_fixture)
+{
+    job_run& job = this->add_job(2, false);
+    this->place(job, 0, {"e1"});
+    this->place(job, 1, {"e1"});
+    const ended_task listed{1, "job.0.0.0", 1, run_outcome::done, ""};
+    const ended_task left_out{2, "job.0.0.1", 1, run_outcome::done, ""};
+    for (std::uint32_t row = 0; row < 2; ++row)
+        this->tracker.handle_start_answer(make_reference(row, 0, 1), start_answer::accepted, this->now);
+    this->poll("e1", {}, {listed}, 7, true);
+    BOOST_TEST(this->tracker.collect_stops(this->now).empty());
+    // Nor does a stop, whatever its reason, make the absence from such an answer a proof.
+    this->tracker.stop_unit(job, job.units[1], this->now);
+    for (const stop_order& stop : this->tracker.collect_stops(this->now))
+        this->tracker.handle_stop_answer(stop.reference, true, this->now);
+    this->now += max_stop_time + milliseconds(1'000);
+    this->poll("e1", {}, {listed}, 7, true);
+    BOOST_TEST(job.steps[0].waiting.empty());
+    BOOST_TEST(this->used("e1") == 2);
+    this->poll("e1", {}, {left_out});
+    BOOST_TEST(job.phase == records::JOB_PHASE_COMPLETED);
+    BOOST_TEST(this->used("e1") == 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(a_gang)
--- a/tests/models/fleet_model.cpp
+++ b/tests/models/fleet_model.cpp
@@ -94,7 +94,9 @@
     result.report.clock = read_clock(executor, now);
     for (const auto& [task, run] : executor.running)
         result.report.running.push_back({task, run.run, "", this->compute_progress_percent(task, run, now)});
-    result.report.ended = executor.ended;
+    const std::size_t listed = std::min(executor.ended.size(), this->limits.max_listed_ends);
+    result.report.ended.assign(executor.ended.begin(), executor.ended.begin() + static_cast<std::ptrdiff_t>(listed));
+    result.report.may_omit_ends = listed == this->limits.max_listed_ends;
     return result;
 }
 
--- a/tests/models/fleet_model.h
+++ b/tests/models/fleet_model.h
@@ -19,8 +19,9 @@
 
 struct fleet_limits {
     milliseconds max_lease{6'000};
-    milliseconds gang_timeout{3'000}; // How long a task waits for the other tasks of its gang.
-    std::uint32_t max_attempts = 3;   // Failed runs after which a task must not be started again.
+    milliseconds gang_timeout{3'000};  // How long a task waits for the other tasks of its gang.
+    std::uint32_t max_attempts = 3;    // Failed runs after which a task must not be started again.
+    std::size_t max_listed_ends = 500; // Ends in one answer to a poll; the others follow once these are acknowledged.
 };
 
 class fleet_model {
--- a/tests/platform/wire_test.cpp
+++ b/tests/platform/wire_test.cpp
@@ -170,6 +170,21 @@
     BOOST_TEST((poll.report.ended[0].outcome == run_outcome::partner_lost));
 }
 
+// An executor lists at most 500 ends in one answer. A list of that length says nothing about the ends that it lacks.
+BOOST_AUTO_TEST_CASE(may_have_more_ends_than_one_answer_lists)
+{
+    const auto decode_list_of = [](std::size_t count) {
+        std::string rows;
+        for (std::size_t row = 1; row <= count; ++row)
+            rows += (row > 1 ? ",[" : "[") + std::to_string(row) + R"(,"j.0.0.1",1,"done",""])";
+        return decode_poll(answer(200, R"({"clock-ms":7,"running":[],"ended":[)" + rows + "]}")).report;
+    };
+    BOOST_TEST(!decode_list_of(0).may_omit_ends);
+    BOOST_TEST(!decode_list_of(499).may_omit_ends);
+    BOOST_TEST(decode_list_of(500).may_omit_ends);
+    BOOST_TEST(decode_list_of(501).may_omit_ends);
+}
+
 BOOST_AUTO_TEST_CASE(that_answer_in_an_unknown_form_leave_the_outcome_unknown)
 {
     BOOST_TEST((decode_poll(answer(200, R"({"clock-ms":1})")).outcome == request_outcome::unknown));
