--- a/tests/models/fleet_model.h
+++ b/tests/models/fleet_model.h
@@ -50,6 +50,15 @@
     // `deadline`: the end, on the executor's own clock, to which the start extends the lease, limited to `max_lease`
     // from now; a start after it is refused.
     order_result start(const start_order& order, milliseconds deadline, std::uint64_t token, boot_time now);
+    // Whether a poll with this token would get more than the tasks that run: ends, or a refusal.
+    [[nodiscard]] bool has_news(const std::string& id, std::uint64_t token) const
+    {
+        const executor_state& executor = this->executors.at(id);
+        return !executor.ended.empty() || token < executor.token;
+    }
+
+    [[nodiscard]] bool is_busy(const std::string& id) const { return !this->executors.at(id).running.empty(); }
+
     order_result stop(const stop_order& order, std::uint64_t token, boot_time now);
 
     // Ends the runs that have finished, whose lease has expired, or that have waited too long for their gang.
--- a/tests/stand_ins/node_platform.cpp
+++ b/tests/stand_ins/node_platform.cpp
@@ -5,7 +5,10 @@
 // The executors' directory entries name the listed ports, on which a proxy may listen. The clock of every second
 // executor is 2% slow. On the store's port, POST /fault?kind=K sets a fault of the store: none, refuse, mute (no
 // responses) or lost (carries out the append, no response); POST /restart?executor=ID restarts an executor, which loses
-// all its state; GET /report returns what the executors recorded: violations, starts, done tasks, started jobs.
+// all its state; POST /split?count=N cuts executors, busy ones first, off from the store and from all nodes but the one
+// that leads, which is cut off from all others, until POST /join; POST /configure?without=ROUTE publishes a
+// configuration that lacks the route (without the field: with all routes); GET /report returns what the executors
+// recorded: violations, starts, done tasks, started jobs.
 
 #include <csignal>
 #include <cstdlib>
@@ -36,6 +39,8 @@
 constexpr std::size_t max_page_records = 500;
 constexpr milliseconds retry_interval{20};
 constexpr std::size_t length_prefix_bytes = 4;
+constexpr milliseconds heartbeat_interval{1'500};
+constexpr milliseconds entry_lifetime = 3 * heartbeat_interval; // Without a heartbeat of the executor.
 
 // Rates of the executors' clocks, in thousandths of real time.
 constexpr int exact_clock_rate = 1'000;
@@ -87,7 +92,8 @@
                          [this](const incoming_request& request, const reply_handler& reply) {
                              this->serve_store(request, reply);
                          }),
-          heartbeat_timer(event_loop)
+          heartbeat_timer(event_loop),
+          poll_timer(event_loop)
     {
         this->store_listener.start("127.0.0.1:" + std::to_string(store_port));
         for (int row = 0; row < count; ++row) {
@@ -108,36 +114,80 @@
         this->publish_policy();
         this->publish_foreign_entry();
         this->publish_executors();
+        this->serve_waiting_polls();
     }
 
 private:
+    // The network is split: the leader of the token and the executors `members` are on one side, all others and the
+    // store on the other one. Calls across it get no answer.
+    struct partition {
+        std::uint64_t token = 0;
+        std::set<std::string> members;
+        boot_time since;
+    };
+
+    [[nodiscard]] bool is_cut_off(const std::string& executor, std::uint64_t token) const
+    {
+        return this->active_partition &&
+               this->active_partition->members.contains(executor) != (token == this->active_partition->token);
+    }
+
+    // Takes `count` executors, busy ones first, out of reach of all but the present leader.
+    void split_network(std::size_t count)
+    {
+        this->active_partition = partition{this->highest_token, {}, boot_clock::now()};
+        std::set<std::string>& members = this->active_partition->members;
+        for (const bool is_busy : {true, false}) {
+            for (const executor_entry& entry : this->fleet.list_entries()) {
+                if (members.size() < count && this->fleet.is_busy(entry.id) == is_busy)
+                    members.insert(entry.id);
+            }
+        }
+    }
+
     void append_keyed(const std::string& topic, const std::string& key, const std::string& value)
     {
         const std::vector<keyed_record> records{{key, value}};
         this->store.append(topic, records, {});
     }
 
-    void publish_policy()
+    // Publishes the next version of the configuration, without the route of that name.
+    void publish_policy(const std::string& removed = "")
     {
-        this->append_keyed("keyed.op", "config", R"({"version":1,"routes":[
-          {"name":"urgent","host":"h.example","path-prefix":"/urgent/","service":"pool","priority":0,"max-attempts":3,"stretch":1.5},
-          {"name":"batch","host":"h.example","path-prefix":"/batch/","service":"pool","priority":2,"max-attempts":3,"stretch":3},
-          {"name":"advised","host":"h.example","path-prefix":"/advised/","service":"pool","priority":2,"max-attempts":3,"stretch":3,
-           "advice":{"decide-ms":5,"each-ms":1,"valid-ms":3000}}],
-          "tenants":[{"name":"account","api-keys":["key"],"guaranteed":{"gpu":8}}]})");
+        const std::map<std::string, std::string> fields{
+            {"urgent", R"("priority":0,"stretch":1.5)"},
+            {"batch", R"("priority":2,"stretch":3)"},
+            {"advised", R"("priority":2,"stretch":3,"advice":{"decide-ms":5,"each-ms":1,"valid-ms":3000})"}};
+        std::string routes;
+        for (const auto& [name, terms] : fields) {
+            if (name == removed)
+                continue;
+            routes += routes.empty() ? "" : ",";
+            routes += R"({"name":")" + name + R"(","host":"h.example","path-prefix":"/)" + name +
+                      R"(/","service":"pool","max-attempts":3,)" + terms + "}";
+        }
+        this->append_keyed("keyed.op", "config",
+                           R"({"version":)" + std::to_string(++this->policy_version) + R"(,"routes":[)" + routes +
+                               R"(],"tenants":[{"name":"account","api-keys":["key"],"guaranteed":{"gpu":8}}]})");
     }
 
     // Writes the directory entries of all executors at a fixed interval, as real executors do for their own.
     void publish_executors()
     {
+        const boot_time now = boot_clock::now();
         for (const executor_entry& entry : this->fleet.list_entries()) {
+            if (this->active_partition && this->active_partition->members.contains(entry.id)) {
+                if (now - this->active_partition->since >= entry_lifetime)
+                    this->store.append("keyed.servers", std::vector<keyed_record>{{entry.id, std::nullopt}}, {});
+                continue;
+            }
             this->append_keyed("keyed.servers", entry.id,
                                R"({"service":"pool","address":")" + entry.address +
                                    R"(","zone":"z","state":"ready","born":)" + std::to_string(entry.incarnation_ms) +
                                    R"(,"headroom":{"cpu":64000,"mem-mb":131072,"gpu":8},"labels":["a",")" + entry.rack +
                                    "\"]}");
         }
-        this->heartbeat_timer.expires_after(milliseconds(1'500));
+        this->heartbeat_timer.expires_after(heartbeat_interval);
         this->heartbeat_timer.async_wait([this](const boost::system::error_code& reason) {
             if (!reason)
                 this->publish_executors();
@@ -199,6 +249,18 @@
             this->fleet.restart(query.at("executor"), boot_clock::now());
             reply({200, "{}", 0});
         }
+        else if (path == "/split") {
+            this->split_network(std::stoul(query.at("count")));
+            reply({200, "{}", 0});
+        }
+        else if (path == "/join") {
+            this->active_partition.reset();
+            reply({200, "{}", 0});
+        }
+        else if (path == "/configure") {
+            this->publish_policy(query.contains("without") ? query.at("without") : "");
+            reply({200, "{}", 0});
+        }
         else if (path == "/report")
             reply({200, this->make_report(), 0});
         else if (this->fault == "refuse")
@@ -333,6 +395,9 @@
     {
         const rapidjson::Document body = platform::parse_object(request.body);
         const auto token = static_cast<std::uint64_t>(platform::find_integer(body, "fencing-token").value_or(0));
+        if (this->is_cut_off(id, token))
+            return;
+        this->highest_token = std::max(this->highest_token, token);
         if (request.target == "/hold") {
             poll_request decoded;
             decoded.fencing_token = token;
@@ -341,7 +406,7 @@
             if (const auto deadline = platform::find_integer(body, "deadline-ms"))
                 decoded.lease_deadline = milliseconds(*deadline);
             const milliseconds wait(platform::find_integer(body, "wait-ms").value_or(0));
-            this->poll(id, decoded, boot_clock::now() + wait, this->fleet.find_incarnation(id), reply);
+            this->poll({id, decoded, boot_clock::now() + wait, this->fleet.find_incarnation(id), reply});
             return;
         }
         start_order order;
@@ -362,23 +427,53 @@
             reply({409, R"({"clock-ms":1,"reason":")" + result.reason + "\"}", 0});
     }
 
-    void poll(const std::string& id, const poll_request& request, boot_time deadline, std::uint64_t incarnation,
-              const reply_handler& reply)
+    // A poll that waits for an end.
+    struct waiting_poll {
+        std::string executor;
+        poll_request request;
+        boot_time deadline;
+        std::uint64_t incarnation = 0;
+        reply_handler reply;
+    };
+
+    // Answers the polls whose wait is over. One timer serves all polls, so that hundreds of executors cost little.
+    void serve_waiting_polls()
+    {
+        const boot_time now = boot_clock::now();
+        this->fleet.advance(now);
+        std::vector<waiting_poll> waiting = std::move(this->waiting_polls);
+        this->waiting_polls.clear();
+        for (waiting_poll& candidate : waiting) {
+            const bool is_over =
+                now >= candidate.deadline || this->fleet.has_news(candidate.executor, candidate.request.fencing_token);
+            if (is_over)
+                this->poll(candidate);
+            else
+                this->waiting_polls.push_back(std::move(candidate));
+        }
+        this->poll_timer.expires_after(retry_interval);
+        this->poll_timer.async_wait([this](const boost::system::error_code& reason) {
+            if (!reason)
+                this->serve_waiting_polls();
+        });
+    }
+
+    void poll(const waiting_poll& received)
     {
-        // A poll that was received before a restart of the executor gets no answer.
-        if (this->fleet.find_incarnation(id) != incarnation)
+        const std::string& id = received.executor;
+        const reply_handler& reply = received.reply;
+        // A poll that was received before a restart of the executor or a partition gets no answer.
+        if (this->fleet.find_incarnation(id) != received.incarnation ||
+            this->is_cut_off(id, received.request.fencing_token))
             return;
-        const poll_result result = this->fleet.poll(id, request, boot_clock::now());
+        const poll_result result = this->fleet.poll(id, received.request, boot_clock::now());
         if (result.outcome == request_outcome::fenced) {
             reply({409, R"({"clock-ms":1,"reason":"fence"})", 0});
             return;
         }
-        if (result.report.ended.empty() && boot_clock::now() < deadline) {
-            poll_request retry = request;
-            retry.lease_deadline.reset();
-            this->schedule_retry([this, id, retry, deadline, incarnation, reply] {
-                this->poll(id, retry, deadline, incarnation, reply);
-            });
+        if (result.report.ended.empty() && boot_clock::now() < received.deadline) {
+            this->waiting_polls.push_back(received);
+            this->waiting_polls.back().request.lease_deadline.reset();
             return;
         }
         reply({200, encode_poll_report(result.report), 0});
@@ -411,10 +506,15 @@
     store_model store;
     fleet_model fleet;
     std::string fault = "none";
+    int policy_version = 0;
     std::set<std::string> advised_steps;
+    std::uint64_t highest_token = 0; // The fencing token of the newest leader that has called an executor.
+    std::optional<partition> active_partition;
+    std::vector<waiting_poll> waiting_polls;
     http_listener store_listener;
     std::vector<std::unique_ptr<http_listener>> executor_listeners;
     boost::asio::steady_timer heartbeat_timer;
+    boost::asio::steady_timer poll_timer;
 };
 
 } // namespace
--- a/tests/support/node_cluster.cpp
+++ b/tests/support/node_cluster.cpp
@@ -78,7 +78,8 @@
         node.kill();
     this->proxy.kill();
     this->platform.kill();
-    std::filesystem::remove_all(this->folder);
+    if (std::getenv("WIGEON_KEEP_LOGS") == nullptr)
+        std::filesystem::remove_all(this->folder);
 }
 
 int node_cluster::port_of(int node, int offset) const
@@ -279,6 +280,32 @@
     client.Post("/fault?kind=" + fault, "", "text/plain");
 }
 
+void node_cluster::remove_queue(const std::string& queue)
+{
+    httplib::Client client = make_client(this->store_port);
+    client.Post("/configure?without=" + queue, "", "text/plain");
+}
+
+void node_cluster::restore_queues()
+{
+    httplib::Client client = make_client(this->store_port);
+    client.Post("/configure", "", "text/plain");
+}
+
+void node_cluster::split_network(int leader, int executor_count)
+{
+    this->set_link_fault(proxied_link::store, leader, "silence");
+    httplib::Client client = make_client(this->store_port);
+    client.Post("/split?count=" + std::to_string(executor_count), "", "text/plain");
+}
+
+void node_cluster::join_network()
+{
+    httplib::Client client = make_client(this->store_port);
+    client.Post("/join", "", "text/plain");
+    this->clear_link_faults();
+}
+
 node_cluster::fleet_report node_cluster::read_report()
 {
     httplib::Client client = make_client(this->store_port);
--- a/tests/support/node_cluster.h
+++ b/tests/support/node_cluster.h
@@ -1,5 +1,5 @@
 // Runs wigeon-node processes on loopback for one test, with the stand-in for the users' platform and, if wanted, the
-// fault-injecting proxy.
+// fault-injecting proxy. The folder with the logs is kept if WIGEON_KEEP_LOGS is set.
 
 #pragma once
 
@@ -57,6 +57,10 @@
     bool wait_for_state_at(int node, const std::string& job, const std::string& queue, const std::string& state,
                            milliseconds timeout);
 
+    // Publishes a configuration without the queue, or with all queues.
+    void remove_queue(const std::string& queue);
+    void restore_queues();
+
     // The faults of stand-in-node-platform: none, refuse, mute, lost.
     void set_store_fault(const std::string& fault);
 
@@ -67,6 +71,11 @@
     // Restarts the executor under its id; it loses its whole state.
     void restart_executor(int executor);
 
+    // Splits the network: the leader and some executors, busy ones first, are on one side; the store, the other nodes
+    // and the other executors are on the other one. Needs the proxy.
+    void split_network(int leader, int executor_count);
+    void join_network();
+
     struct fleet_report {
         std::uint64_t violations = 0; // States that a scheduler must never cause; see fleet_model.
         std::string first_violation;
