Jobs of a removed queue go on under a new leader on the terms under which they were accepted

Cause: a submission's record held the queue's name only, so a new leader whose configuration lacks the queue used a default policy without executors and with one attempt. The former leader still held the queue's policy in memory.

Why this works: each submission records what a leader needs of its queue, and that applies while the configuration has no such queue.

--- a/libraries/dispatch/dispatcher.cpp
+++ b/libraries/dispatch/dispatcher.cpp
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "jobs/job_table.h"
+#include "jobs/queue_terms.h"
 
 namespace wigeon {
 
@@ -49,9 +50,8 @@
 {
     if (this->tracker.find(id) != nullptr)
         return;
-    queue_policy job_policy;
-    if (const queue_policy* queue = this->policy.find_queue_by_name(submission.queue()))
-        job_policy = *queue;
+    const queue_policy* queue = this->policy.find_queue_by_name(submission.queue());
+    const queue_policy job_policy = queue != nullptr ? *queue : restore_accepted_policy(submission);
     // After a change of leader, only the wall clock tells the age of a job. It may have jumped, so the age is limited.
     constexpr std::int64_t max_age_ms = 120'000;
     const std::int64_t age_ms =
--- /dev/null
+++ b/libraries/jobs/queue_terms.h
@@ -0,0 +1,15 @@
+// The terms of a queue as they are recorded with each job, for a leader whose configuration no longer has the queue.
+
+#pragma once
+
+#include "jobs.pb.h"
+#include "jobs/fleet_policy.h"
+
+namespace wigeon {
+
+records::QueueTerms make_queue_terms(const queue_policy& queue);
+
+// Returns the policy under which the job was accepted. If its record has none, the job is neither placed nor failed.
+queue_policy restore_accepted_policy(const records::Submission& submission);
+
+} // namespace wigeon
--- a/tests/dispatch/dispatcher_test.cpp
+++ b/tests/dispatch/dispatcher_test.cpp
@@ -13,10 +13,21 @@
 
 constexpr dispatch_limits limits{milliseconds(6'000), milliseconds(200), milliseconds(5'000)};
 
+records::QueueTerms make_terms()
+{
+    records::QueueTerms terms;
+    terms.set_pool("pool");
+    terms.set_priority(2);
+    terms.set_max_attempts(3);
+    terms.set_stretch(1.5);
+    return terms;
+}
+
 struct fleet_fixture {
     boot_time now{milliseconds(1'000'000)};
     dispatcher dispatch{limits, this->now};
     int jobs = 0;
+    std::uint64_t ends = 0;
 
     fleet_fixture()
     {
@@ -80,6 +91,30 @@
         return id;
     }
 
+    std::string add_of_removed_queue(const std::optional<records::QueueTerms>& terms,
+                                     const records::JobProgress& progress = {})
+    {
+        records::Submission submission;
+        submission.set_queue("removed");
+        if (terms)
+            *submission.mutable_accepted_terms() = *terms;
+        submission.add_steps()->set_accelerators(1);
+        std::string id = "job" + std::to_string(++this->jobs);
+        this->dispatch.add_job(id, submission, progress, 0, this->now);
+        return id;
+    }
+
+    void end_run_as_failed(const std::string& executor_id, const std::string& job, std::uint32_t run)
+    {
+        this->now += milliseconds(200);
+        poll_report report;
+        report.incarnation_ms = 1;
+        report.clock = milliseconds(this->now.time_since_epoch());
+        report.ended.push_back({++this->ends, make_task_name(job, {0, 0, 0}), run, run_outcome::failed, ""});
+        this->dispatch.handle_poll_report(executor_id, report, this->now, this->now);
+        this->poll_all();
+    }
+
     void decide()
     {
         this->dispatch.decide(0, this->now);
@@ -205,6 +240,56 @@
 }
 
 // What is recorded must not grow with the width of a job, or its cost grows with the square of the width.
+// Guards against jobs that a new leader takes over after their queue was removed: it must keep the terms under which
+// they were accepted, or they fail early or wait for good.
+BOOST_AUTO_TEST_SUITE(a_job_of_a_removed_queue)
+
+BOOST_FIXTURE_TEST_CASE(is_run_by_a_new_leader_on_its_pool_with_all_its_attempts, fleet_fixture)
+{
+    const std::string id = this->add_of_removed_queue(make_terms());
+    for (std::uint32_t run = 1; run <= 3; ++run) {
+        this->decide();
+        const job_run& job = *this->dispatch.job_runs().find(id);
+        BOOST_TEST((job.phase == records::JOB_PHASE_RUNNING));
+        BOOST_REQUIRE(job.units[0].placed_tasks.size() == 1U);
+        this->end_run_as_failed(job.units[0].placed_tasks[0].executor, id, run);
+    }
+    BOOST_TEST((this->dispatch.job_runs().find(id)->phase == records::JOB_PHASE_FAILED));
+}
+
+BOOST_FIXTURE_TEST_CASE(is_run_on_the_terms_of_its_queue_when_that_is_back, fleet_fixture)
+{
+    records::QueueTerms former = make_terms();
+    former.set_pool("former");
+    const std::string id = this->add_of_removed_queue(former);
+    this->decide();
+    BOOST_TEST(!this->is_placed(id));
+    fleet_policy policy;
+    policy.queues.push_back({.name = "removed", .pool = "pool"});
+    this->dispatch.set_policy(policy);
+    this->decide();
+    BOOST_TEST(this->is_placed(id));
+}
+
+// An earlier build accepted the job and recorded no terms.
+BOOST_FIXTURE_TEST_CASE(whose_terms_are_unknown_is_neither_started_nor_failed, fleet_fixture)
+{
+    records::JobProgress progress;
+    progress.set_phase(records::JOB_PHASE_RUNNING);
+    progress.add_executors()->set_id("e0");
+    records::UnitProgress& unit = *progress.add_units();
+    unit.set_run(1);
+    unit.add_placed_on(0);
+    const std::string id = this->add_of_removed_queue(std::nullopt, progress);
+    this->end_run_as_failed("e0", id, 1);
+    this->decide();
+    BOOST_TEST(!this->is_placed(id));
+    BOOST_TEST((this->dispatch.job_runs().find(id)->phase == records::JOB_PHASE_RUNNING));
+    BOOST_TEST(this->dispatch.job_runs().find(id)->units[0].failures == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_FIXTURE_TEST_CASE(the_end_of_a_task_records_that_task_only, fleet_fixture)
 {
     const std::string id = this->add("q2", 8, 4, false);
--- a/tests/integration/node_test.cpp
+++ b/tests/integration/node_test.cpp
@@ -15,6 +15,9 @@
 const std::string gang_and_tasks = R"({"count":2,"cpu":1000,"mem-mb":100,"gpu":4,"estimate-ms":500,"gang":true},)"
                                    R"({"count":4,"cpu":1000,"mem-mb":100,"gpu":1,"estimate-ms":300,"after":[0]})";
 const std::string long_task = R"({"count":1,"cpu":1000,"mem-mb":100,"gpu":1,"estimate-ms":6000})";
+const std::string long_task_and_tasks =
+    long_task + R"(,{"count":4,"cpu":1000,"mem-mb":100,"gpu":1,"estimate-ms":300,"after":[0]})";
+const std::string two_whole_executors_for_long = R"({"count":2,"cpu":1000,"mem-mb":100,"gpu":8,"estimate-ms":30000})";
 
 // Far above the measured times (a takeover takes about 2 s), so that the tests also pass on a busy machine.
 constexpr milliseconds wait_timeout{60'000};
@@ -114,6 +117,27 @@
     check_no_violations(system);
 }
 
+// Guards against a job that stands idle because its queue was removed before the leader was replaced.
+BOOST_AUTO_TEST_CASE(a_job_of_a_removed_queue_goes_on_under_a_new_leader)
+{
+    node_cluster system({.nodes = 3, .executors = 4});
+    BOOST_TEST(system.submit(0, make_job_id(1), "batch", long_task_and_tasks) == 200);
+    BOOST_TEST(system.wait_for_state(make_job_id(1), "batch", "running", wait_timeout));
+    system.remove_queue("batch");
+    const int leader = wait_for_leader(system);
+    const auto deadline = boot_clock::now() + wait_timeout;
+    while (!system.read_state(leader, make_job_id(1), "batch").empty() && boot_clock::now() < deadline)
+        std::this_thread::sleep_for(milliseconds(50));
+    system.kill_node(leader);
+    while (system.read_report().done < 5U && boot_clock::now() < deadline)
+        std::this_thread::sleep_for(milliseconds(50));
+    BOOST_TEST(system.read_report().done == 5U);
+    BOOST_TEST(system.read_report().starts == 5U);
+    system.restore_queues();
+    BOOST_TEST(system.wait_for_state(make_job_id(1), "batch", "completed", wait_timeout));
+    check_no_violations(system);
+}
+
 BOOST_AUTO_TEST_CASE(a_store_is_converted_to_unit_records_while_jobs_run_and_nodes_are_replaced)
 {
     node_cluster system({.nodes = 3, .executors = 4, .has_unit_records = false});
