A leader that is cut off from the store renews leases only while most executors answer it

Cause, as reproduced: a leader that loses the store renews leases for up to 25 s. Executors that are cut off from the store together with it leave the directory, and its successor took executors that are not listed, and that it had never reached, for gone 2 s and a lease later. On neither side did an executor hear of both leaders.

Why this works: without a confirmation of the store for 5 s a leader needs answers, to polls of these 5 s, from more than half of the listed executors; a new leader counts renewals by others as over 5 s after more than half have answered it. The two halves share an executor that refuses the older token. It is checked before each poll and start as well, with the times at which calls were sent, so that a paused process does not act on an old permission. Without a majority the former bound of 25 s holds.

The model of executors also checks starts after an end that is recorded later.

Considered: 25 s for all executors that are not listed. Tasks of an executor that is lost together with its leader would stand idle for 31 s; as it is, they wait about as long as before (13 s after the loss).

--- a/libraries/dispatch/executor_registry.cpp
+++ b/libraries/dispatch/executor_registry.cpp
@@ -8,9 +8,6 @@
 
 namespace {
 
-// An executor is gone if its entry is still missing this long after the store has become available again.
-constexpr milliseconds directory_lag{2'000};
-
 // Time between the expiry of a lease and the end of its tasks; clock drift is added separately.
 constexpr milliseconds lease_expiry_margin{250};
 
@@ -45,7 +42,6 @@
     const auto [inserted, is_new] = this->executors.try_emplace(entry.id);
     executor& target = inserted->second;
     target.is_listed = true;
-    target.unlisted_since.reset();
     const bool is_new_incarnation = !is_new && entry.incarnation_ms > target.entry.incarnation_ms;
     if (is_new || entry.incarnation_ms >= target.entry.incarnation_ms)
         target.entry = entry;
@@ -62,13 +58,10 @@
     return is_new_incarnation;
 }
 
-void executor_registry::remove(std::string_view id, boot_time now)
+void executor_registry::remove(std::string_view id)
 {
-    executor* target = this->find(id);
-    if (target == nullptr || !target->is_listed)
-        return;
-    target->is_listed = false;
-    target->unlisted_since = now;
+    if (executor* target = this->find(id))
+        target->is_listed = false;
 }
 
 executor* executor_registry::find(std::string_view id)
@@ -93,17 +86,41 @@
     return target.latest_deadline;
 }
 
+bool executor_registry::is_majority_in_contact(boot_time now) const
+{
+    std::size_t listed = 0;
+    std::size_t in_contact = 0;
+    for (const auto& [id, target] : this->executors) {
+        if (!target.is_listed)
+            continue;
+        ++listed;
+        if (target.last_poll_sent_at && now - *target.last_poll_sent_at <= max_contact_age)
+            ++in_contact;
+    }
+    return in_contact * 2 > listed || listed == 0;
+}
+
+void executor_registry::observe_reached(std::size_t unknown_count, boot_time now)
+{
+    if (this->majority_reached_at)
+        return;
+    const auto reached = static_cast<std::size_t>(std::count_if(
+        this->executors.begin(), this->executors.end(), [](const auto& entry) { return entry.second.is_reached; }));
+    if (reached * 2 > this->executors.size() + unknown_count)
+        this->majority_reached_at = now;
+}
+
 boot_time executor_registry::find_lease_expiry(const executor& target) const
 {
     if (!target.clock_read_at) {
-        // A former leader that lost the store may renew leases until it steps down, but not on an executor that is
-        // gone.
-        if (!target.is_listed)
-            return std::max(this->leading_since, target.unlisted_since.value_or(this->leading_since)) + directory_lag +
-                   add_clock_drift(this->max_lease) + lease_expiry_margin;
+        // An executor that is not listed may be cut off from the store together with a former leader, which renews its
+        // leases as long as it may.
+        const bool is_renewal_bounded = !target.is_listed && this->majority_reached_at;
+        const milliseconds renewal_limit = is_renewal_bounded ? max_contact_age : max_unconfirmed_leadership;
+        const boot_time began_at = is_renewal_bounded ? *this->majority_reached_at : this->leading_since;
         // Until the restart became known, orders for the former incarnation may have reached the new one.
-        const boot_time since = std::max(this->leading_since, target.restarted_at.value_or(this->leading_since));
-        return since + max_unconfirmed_leadership + add_clock_drift(this->max_lease) + lease_expiry_margin;
+        const boot_time since = std::max(began_at, target.restarted_at.value_or(began_at));
+        return since + renewal_limit + add_clock_drift(this->max_lease) + lease_expiry_margin;
     }
     const milliseconds left = std::max(target.latest_deadline - target.clock, milliseconds(0));
     return *target.clock_read_at + add_clock_drift(left) + lease_expiry_margin;
--- a/libraries/dispatch/executor_registry.h
+++ b/libraries/dispatch/executor_registry.h
@@ -3,6 +3,7 @@
 
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -20,6 +21,11 @@
 // longest outage of the store that running work must survive (20 s).
 constexpr milliseconds max_unconfirmed_leadership{25'000};
 
+// A leader that the store has not confirmed for this long renews leases only while more than half of the listed
+// executors have answered polls that it sent within this time. If another leader has reached more than half as well,
+// one of these executors refuses the former leader's token. So this long after that, no former leader renews a lease.
+constexpr milliseconds max_contact_age{5'000};
+
 // An executor's entry in the platform's directory.
 struct executor_entry {
     std::string id;
@@ -70,8 +76,7 @@
 
 struct executor {
     executor_entry entry;
-    bool is_listed = true; // Has an entry in the directory.
-    std::optional<boot_time> unlisted_since;
+    bool is_listed = true;                      // Has an entry in the directory.
     bool is_reached = false;                    // The current incarnation has answered a poll of this leader.
     std::optional<boot_time> last_poll_sent_at; // Of the newest answered poll; none after a failed one.
     std::optional<boot_time> restarted_at;      // When the current incarnation became known; none: it is the first one.
@@ -99,7 +104,7 @@
 
     // Adds or updates the executor. Returns true if the entry shows a new incarnation of a known executor.
     bool update(const executor_entry& entry, boot_time now);
-    void remove(std::string_view id, boot_time now);
+    void remove(std::string_view id);
 
     executor* find(std::string_view id);
     [[nodiscard]] const executor* find(std::string_view id) const;
@@ -109,6 +114,13 @@
     // Returns the deadline of a lease of maximum length, on the executor's clock, and records it as sent.
     milliseconds extend_lease(executor& target, boot_time now);
 
+    // Whether more than half of the listed executors have answered a poll that was sent within max_contact_age.
+    [[nodiscard]] bool is_majority_in_contact(boot_time now) const;
+
+    // Notes the time at which more than half of all executors have answered this leader: those known here, and
+    // `unknown_count` others that have tasks.
+    void observe_reached(std::size_t unknown_count, boot_time now);
+
     // When all tasks on the executor have certainly ended if no further lease renewal reaches it.
     [[nodiscard]] boot_time find_lease_expiry(const executor& target) const;
 
@@ -118,6 +130,7 @@
 private:
     milliseconds max_lease;
     boot_time leading_since;
+    std::optional<boot_time> majority_reached_at; // None: former leaders may still renew leases.
     std::map<std::string, executor, std::less<>> executors;
 };
 
--- a/libraries/dispatch/run_tracker.cpp
+++ b/libraries/dispatch/run_tracker.cpp
@@ -487,6 +487,11 @@
 
 void run_tracker::resolve_expired(boot_time now)
 {
+    const auto unknown_count =
+        std::count_if(this->tasks_by_executor.begin(), this->tasks_by_executor.end(), [this](const auto& entry) {
+            return !entry.second.empty() && this->registry.find(entry.first) == nullptr;
+        });
+    this->registry.observe_reached(static_cast<std::size_t>(unknown_count), now);
     std::vector<std::string> expired;
     for (const auto& [id, references] : this->tasks_by_executor) {
         if (references.empty())
--- a/libraries/node/executor_sessions.cpp
+++ b/libraries/node/executor_sessions.cpp
@@ -49,7 +49,7 @@
     {
         const std::string& id = record.content.key;
         if (!record.content.value) {
-            this->parent.job_dispatcher.remove_executor(id, now);
+            this->parent.job_dispatcher.remove_executor(id);
             return;
         }
         std::string problem;
@@ -75,9 +75,10 @@
 
     void finish_load(const std::map<std::string, std::uint64_t, std::less<>>& keys, boot_time now) override
     {
+        static_cast<void>(now);
         for (const auto& [id, known_executor] : this->parent.job_dispatcher.executors().all()) {
             if (known_executor.is_listed && !keys.contains(id))
-                this->parent.job_dispatcher.remove_executor(id, now);
+                this->parent.job_dispatcher.remove_executor(id);
         }
     }
 
@@ -146,12 +147,14 @@
 
 void executor_sessions::send_start(const start_order& order)
 {
+    const boot_time now = boot_clock::now();
+    if (!this->is_active || !this->event_listener.check_leadership(now))
+        return;
     executor* known_executor = this->job_dispatcher.executors().find(order.executor);
     if (known_executor == nullptr || !known_executor->is_reached) {
-        this->job_dispatcher.handle_start_answer(order, start_answer::refused, boot_clock::now());
+        this->job_dispatcher.handle_start_answer(order, start_answer::refused, now);
         return;
     }
-    const boot_time now = boot_clock::now();
     const milliseconds deadline = this->job_dispatcher.executors().extend_lease(*known_executor, now);
     const executor_target target{order.executor, known_executor->entry.address};
     this->executors.start(target, order, deadline, this->fencing_token,
@@ -269,6 +272,9 @@
 
 void executor_sessions::poll(const std::string& id)
 {
+    const boot_time now = boot_clock::now();
+    if (!this->event_listener.check_leadership(now))
+        return;
     const auto found = this->sessions.find(id);
     executor* known_executor = this->job_dispatcher.executors().find(id);
     if (found == this->sessions.end() || found->second.is_polling || known_executor == nullptr)
@@ -279,7 +285,6 @@
         this->sessions.erase(found);
         return;
     }
-    const boot_time now = boot_clock::now();
     poll_request request;
     request.fencing_token = this->fencing_token;
     request.end_to_acknowledge = known_executor->find_end_to_acknowledge();
--- a/libraries/node/leader.cpp
+++ b/libraries/node/leader.cpp
@@ -56,6 +56,8 @@
         return "store_out_of_reach";
     case leadership_end::resigned:
         return "resigned";
+    case leadership_end::isolated:
+        return "isolated";
     }
     return "unknown";
 }
@@ -303,6 +305,8 @@
         this->finish(leadership_end::store_out_of_reach);
         return;
     }
+    if (!this->check_leadership(now))
+        return;
     if (!this->pending_changes && !this->recorder->is_appending()) {
         if (this->may_decide(now))
             this->decide(now);
@@ -423,6 +427,17 @@
     this->finish(leadership_end::fenced_at_executor);
 }
 
+// Another node may lead by now if the store has confirmed nothing lately. Then an executor that both nodes reach would
+// refuse this one's token, so contact with most executors shows that there is no other leader with such contact.
+bool leader::check_leadership(boot_time now)
+{
+    if (now - this->recorder->confirmed_as_of() <= max_contact_age ||
+        this->job_dispatcher.executors().is_majority_in_contact(now))
+        return true;
+    this->finish(leadership_end::isolated);
+    return false;
+}
+
 void leader::log_events()
 {
     for (const dispatch_event& event : this->job_dispatcher.take_events())
--- a/libraries/node/leader.h
+++ b/libraries/node/leader.h
@@ -36,6 +36,7 @@
     fenced_at_executor,
     store_out_of_reach,
     resigned,
+    isolated, // From the store, and from half of the executors or more.
 };
 
 std::string_view to_string(leadership_end end);
@@ -61,6 +62,7 @@
     void handle_policy_change(const fleet_policy& policy, boot_time now) override;
     void handle_change() override;
     void handle_fenced() override;
+    bool check_leadership(boot_time now) override;
 
     [[nodiscard]] std::uint64_t term() const { return this->own_term; }
     [[nodiscard]] bool is_leading() const { return this->stage == phase::leading; }
--- a/libraries/node/progress_recorder.h
+++ b/libraries/node/progress_recorder.h
@@ -2,6 +2,7 @@
 
 #pragma once
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <memory>
@@ -50,6 +51,12 @@
     void stop();
 
     [[nodiscard]] bool is_appending() const { return !this->appends.empty(); }
+    // The store had seen no later leader at this time.
+    [[nodiscard]] boot_time confirmed_as_of() const
+    {
+        return std::max({this->job_writer->confirmed_as_of(), this->unit_writer->confirmed_as_of(),
+                         this->state_writer->confirmed_as_of()});
+    }
     [[nodiscard]] bool has_timed_out(boot_time now) const { return this->followed_writer().has_timed_out(now); }
 
 private:
--- a/libraries/node/progress_writer.cpp
+++ b/libraries/node/progress_writer.cpp
@@ -116,6 +116,7 @@
 {
     if (outcome == progress_outcome::done) {
         this->last_confirmed = boot_clock::now();
+        this->confirmed_append_started_at = this->append_started_at;
         if (!this->records.empty())
             process_metrics().observe_ms("wigeon_commit_ms",
                                          static_cast<double>((this->last_confirmed - this->append_started_at).count()));
--- a/libraries/node/progress_writer.h
+++ b/libraries/node/progress_writer.h
@@ -41,6 +41,10 @@
     // Whether nothing was confirmed, or begun, for longer than max_unconfirmed_leadership.
     [[nodiscard]] bool has_timed_out(boot_time now) const;
 
+    // When the last confirmed append was first sent. The confirmation itself may have been received much later, if this
+    // process was paused.
+    [[nodiscard]] boot_time confirmed_as_of() const { return this->confirmed_append_started_at; }
+
 private:
     void send();
     void handle_result(const append_result& result);
@@ -56,6 +60,7 @@
     boost::asio::steady_timer retry_timer;
     boot_time append_started_at; // First attempt of the append in flight.
     boot_time last_confirmed;
+    boot_time confirmed_append_started_at;
     bool is_stopped = false;
 };
 
--- a/tests/integration/node_test.cpp
+++ b/tests/integration/node_test.cpp
@@ -161,6 +161,22 @@
     check_no_violations(system);
 }
 
+// Guards against a second run of tasks on executors that leave the directory without leaving: they are cut off together
+// with the leader, which keeps their leases, while the next leader takes them for gone.
+BOOST_AUTO_TEST_CASE(tasks_on_executors_that_are_cut_off_with_their_leader_run_once)
+{
+    node_cluster system({.nodes = 3, .executors = 6, .has_proxy = true});
+    BOOST_TEST(system.submit(0, make_job_id(1), "batch", two_whole_executors_for_long) == 200);
+    const auto deadline = boot_clock::now() + wait_timeout;
+    while (system.read_report().starts < 2U && boot_clock::now() < deadline)
+        std::this_thread::sleep_for(milliseconds(50));
+    system.split_network(wait_for_leader(system), 2);
+    std::this_thread::sleep_for(milliseconds(20'000));
+    system.join_network();
+    BOOST_TEST(system.wait_for_state(make_job_id(1), "batch", "completed", wait_timeout));
+    check_no_violations(system);
+}
+
 BOOST_AUTO_TEST_CASE(jobs_outlive_the_end_of_all_nodes)
 {
     node_cluster system({.nodes = 3, .executors = 4});
--- a/tests/models/fleet_model.h
+++ b/tests/models/fleet_model.h
@@ -99,6 +99,8 @@
         std::vector<ended_task> ended;
         std::map<std::string, std::uint32_t> highest_ended; // By task: the highest run that ended or was stopped here.
         std::uint64_t last_sequence = 0;
+        std::map<std::uint64_t, boot_time> done_at; // When the listed ends `done` came about, by sequence.
+        std::optional<boot_time> lapsed_at;         // When the lease was last found to have expired.
         resources used;
     };
 
@@ -114,6 +116,7 @@
                                                          boot_time now) const;
     void check_step_order(const std::string& task, const records::Step& step);
     void check_attempts(const std::string& task);
+    void check_recorded_end(const executor_state& executor, const ended_task& ended);
     [[nodiscard]] bool is_step_done(const std::string& job, std::uint32_t occurrence, std::uint32_t row) const;
     [[nodiscard]] std::uint32_t count_failures(const std::string& task,
                                                const std::map<std::string, std::uint32_t>& counts) const;
@@ -128,6 +131,7 @@
     std::map<std::string, std::uint32_t> recorded_failures; // By task: ends `failed` that the scheduler has recorded.
     std::map<std::string, std::uint32_t> failed_by_task;
     std::map<std::string, std::uint32_t> done_by_task; // By task: ends `done` of any run.
+    std::map<std::string, boot_time> last_started_at;  // By task.
     std::vector<std::string> violation_messages;
     std::set<std::string> jobs_started;
     std::uint64_t start_count = 0;
