A row of another type in an answer does not end the process

What could be seen: an executor's answer with a number, text or object in place of a row ended the leading process, and so did a page of the store with items that are no objects.

Cause: RapidJSON checks types with assertions only, which release builds lack. The readers used the size and the members of values whose type they had not checked. Numbers too large for a counter were converted without a defined result.

--- a/tests/platform/wire_test.cpp
+++ b/tests/platform/wire_test.cpp
@@ -117,6 +117,12 @@
     BOOST_TEST(read.records[0].offset == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(of_another_type_fail_the_page)
+{
+    for (const std::string item : {"5", "null", R"("text")", "[]", "{}", R"({"key":"k","value":5,"offset":1})"})
+        BOOST_TEST(!decode_newest(answer(200, R"({"end":1,"items":[)" + item + "]}")).is_done, item);
+}
+
 BOOST_AUTO_TEST_CASE(of_the_newest_page_are_decoded)
 {
     const newest_page page =
@@ -192,6 +198,22 @@
                 request_outcome::unknown));
 }
 
+// Guards against an answer that ends the leading process: a row that is no list, or a number that no counter holds.
+BOOST_AUTO_TEST_CASE(that_list_rows_of_another_type_leave_the_outcome_unknown)
+{
+    for (const std::string row : {"5", "null", "true", R"("abcdefghijklmnopqrstuvwxyz")", "{}", R"({"0":"j.0.0.0"})",
+                                  "[]", "[5]", "[null,null,null,null,null]", R"(["j.0.0.0",-1,"",0])",
+                                  R"(["j.0.0.0",1e300,"",0])", R"([-1,"j.0.0.0",1,"done",""])"}) {
+        BOOST_TEST_CONTEXT("row " << row)
+        {
+            const std::string running = R"({"clock-ms":7,"running":[)" + row + R"(],"ended":[]})";
+            BOOST_TEST((decode_poll(answer(200, running)).outcome == request_outcome::unknown));
+            const std::string ended = R"({"clock-ms":7,"running":[],"ended":[)" + row + "]}";
+            BOOST_TEST((decode_poll(answer(200, ended)).outcome == request_outcome::unknown));
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(refuse_definitely_or_leave_the_outcome_unknown)
 {
     BOOST_TEST((decode_order(answer(409, R"({"reason":"fence"})")).outcome == request_outcome::fenced));
@@ -302,6 +324,14 @@
     BOOST_TEST(submission.steps(1).after(0) == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(with_amounts_that_no_job_can_have_are_refused)
+{
+    for (const std::string amount : {"-1", "1e300", "1e999", "18446744073709551616", "-0.5"}) {
+        const std::string body = R"({"steps":[{"count":1,"cpu":)" + amount + "}]}";
+        BOOST_CHECK_THROW(decode_submission(body), error);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(that_are_invalid_are_refused)
 {
     for (const char* body :
