--- a/libraries/dispatch/dispatcher.cpp
+++ b/libraries/dispatch/dispatcher.cpp
@@ -75,9 +75,9 @@
         this->tracker.resolve_previous_incarnations(entry.id, entry.incarnation_ms, now);
 }
 
-void dispatcher::remove_executor(std::string_view id)
+void dispatcher::remove_executor(std::string_view id, boot_time now)
 {
-    this->registry.remove(id);
+    this->registry.remove(id, now);
 }
 
 void dispatcher::handle_poll_report(std::string_view executor_id, const poll_report& report, boot_time sent_at,
--- a/libraries/dispatch/dispatcher.h
+++ b/libraries/dispatch/dispatcher.h
@@ -86,7 +86,7 @@
     void cancel_job(std::string_view id, boot_time now);
 
     void update_executor(const executor_entry& entry, boot_time now);
-    void remove_executor(std::string_view id);
+    void remove_executor(std::string_view id, boot_time now);
     void handle_poll_report(std::string_view executor_id, const poll_report& report, boot_time sent_at, boot_time now);
     void handle_start_answer(const start_order& order, start_answer answer, boot_time now);
     void handle_stop_answer(const stop_order& order, bool is_acknowledged, boot_time now);
--- a/libraries/dispatch/executor_registry.cpp
+++ b/libraries/dispatch/executor_registry.cpp
@@ -8,6 +8,9 @@
 
 namespace {
 
+// An executor is gone if its entry is still missing this long after the store has become available again.
+constexpr milliseconds directory_lag{2'000};
+
 // Time between the expiry of a lease and the end of its tasks; clock drift is added separately.
 constexpr milliseconds lease_expiry_margin{250};
 
@@ -42,6 +45,7 @@
     const auto [inserted, is_new] = this->executors.try_emplace(entry.id);
     executor& target = inserted->second;
     target.is_listed = true;
+    target.unlisted_since.reset();
     const bool is_new_incarnation = !is_new && entry.incarnation_ms > target.entry.incarnation_ms;
     if (is_new || entry.incarnation_ms >= target.entry.incarnation_ms)
         target.entry = entry;
@@ -58,10 +62,13 @@
     return is_new_incarnation;
 }
 
-void executor_registry::remove(std::string_view id)
+void executor_registry::remove(std::string_view id, boot_time now)
 {
-    if (executor* target = this->find(id))
-        target->is_listed = false;
+    executor* target = this->find(id);
+    if (target == nullptr || !target->is_listed)
+        return;
+    target->is_listed = false;
+    target->unlisted_since = now;
 }
 
 executor* executor_registry::find(std::string_view id)
@@ -113,14 +120,17 @@
 boot_time executor_registry::find_lease_expiry(const executor& target) const
 {
     if (!target.clock_read_at) {
+        const milliseconds lease = add_clock_drift(this->max_lease) + lease_expiry_margin;
+        // Until the restart became known, orders for the former incarnation may have reached the new one.
+        const boot_time restarted_at = target.restarted_at.value_or(this->leading_since);
         // An executor that is not listed may be cut off from the store together with a former leader, which renews its
         // leases as long as it may.
-        const bool is_renewal_bounded = !target.is_listed && this->majority_reached_at;
-        const milliseconds renewal_limit = is_renewal_bounded ? max_contact_age : max_unconfirmed_leadership;
-        const boot_time began_at = is_renewal_bounded ? *this->majority_reached_at : this->leading_since;
-        // Until the restart became known, orders for the former incarnation may have reached the new one.
-        const boot_time since = std::max(began_at, target.restarted_at.value_or(began_at));
-        return since + renewal_limit + add_clock_drift(this->max_lease) + lease_expiry_margin;
+        if (!target.is_listed && this->majority_reached_at) {
+            const boot_time last_renewal = std::max(*this->majority_reached_at, restarted_at) + max_contact_age;
+            const boot_time left_at = target.unlisted_since.value_or(this->leading_since) + directory_lag;
+            return std::max(last_renewal, left_at) + lease;
+        }
+        return std::max(this->leading_since, restarted_at) + max_unconfirmed_leadership + lease;
     }
     const milliseconds left = std::max(target.latest_deadline - target.clock, milliseconds(0));
     return *target.clock_read_at + add_clock_drift(left) + lease_expiry_margin;
--- a/libraries/dispatch/executor_registry.h
+++ b/libraries/dispatch/executor_registry.h
@@ -76,7 +76,8 @@
 
 struct executor {
     executor_entry entry;
-    bool is_listed = true;                      // Has an entry in the directory.
+    bool is_listed = true; // Has an entry in the directory.
+    std::optional<boot_time> unlisted_since;
     bool is_reached = false;                    // The current incarnation has answered a poll of this leader.
     std::optional<boot_time> last_poll_sent_at; // Of the newest answered poll; none after a failed one.
     std::optional<boot_time> restarted_at;      // When the current incarnation became known; none: it is the first one.
@@ -104,7 +105,7 @@
 
     // Adds or updates the executor. Returns true if the entry shows a new incarnation of a known executor.
     bool update(const executor_entry& entry, boot_time now);
-    void remove(std::string_view id);
+    void remove(std::string_view id, boot_time now);
 
     executor* find(std::string_view id);
     [[nodiscard]] const executor* find(std::string_view id) const;
--- a/libraries/node/executor_sessions.cpp
+++ b/libraries/node/executor_sessions.cpp
@@ -49,7 +49,7 @@
     {
         const std::string& id = record.content.key;
         if (!record.content.value) {
-            this->parent.job_dispatcher.remove_executor(id);
+            this->parent.job_dispatcher.remove_executor(id, now);
             return;
         }
         std::string problem;
@@ -78,7 +78,7 @@
         static_cast<void>(now);
         for (const auto& [id, known_executor] : this->parent.job_dispatcher.executors().all()) {
             if (known_executor.is_listed && !keys.contains(id))
-                this->parent.job_dispatcher.remove_executor(id);
+                this->parent.job_dispatcher.remove_executor(id, now);
         }
     }
 
--- a/tests/dispatch/executor_registry_test.cpp
+++ b/tests/dispatch/executor_registry_test.cpp
@@ -65,6 +65,25 @@
     BOOST_TEST((registry.find_lease_expiry(*registry.find("e1")) >= start + max_unconfirmed_leadership + max_lease));
 }
 
+BOOST_AUTO_TEST_CASE(one_that_left_the_directory_ends_with_its_lease)
+{
+    executor_registry registry(max_lease, start);
+    registry.update(make_entry(), start);
+    for (const char* id : {"e2", "e3"}) {
+        registry.update(make_entry(id), start);
+        registry.apply_poll_report(*registry.find(id), make_report(milliseconds(5'000)), start, start);
+    }
+    registry.observe_reached(0, start);
+    for (const milliseconds after : {milliseconds(3'000), milliseconds(15'000)}) {
+        const boot_time left_at = start + after;
+        registry.update(make_entry(), left_at);
+        registry.remove("e1", left_at);
+        const boot_time expiry = registry.find_lease_expiry(*registry.find("e1"));
+        BOOST_TEST((expiry >= left_at + add_clock_drift(max_lease)));
+        BOOST_TEST((expiry < start + max_unconfirmed_leadership));
+    }
+}
+
 // Guards against a second run of tasks on an executor that left the directory because it is cut off from the store: a
 // former leader that is cut off with it renews its leases.
 BOOST_AUTO_TEST_CASE(one_that_left_the_directory_may_be_renewed_until_most_others_know_this_leader)
@@ -72,7 +91,7 @@
     executor_registry registry(max_lease, start);
     for (const char* id : {"e1", "e2", "e3"})
         registry.update(make_entry(id), start);
-    registry.remove("e1");
+    registry.remove("e1", start);
     registry.apply_poll_report(*registry.find("e2"), make_report(milliseconds(5'000)), start, start);
     registry.observe_reached(0, start + milliseconds(1'000));
     const auto find_expiry = [&registry] { return registry.find_lease_expiry(*registry.find("e1")); };
@@ -101,7 +120,7 @@
     for (const char* id : {"e1", "e2"})
         registry.apply_poll_report(*registry.find(id), make_report(milliseconds(5'000)), start, start);
     BOOST_TEST(!registry.is_majority_in_contact(start));
-    registry.remove("e4");
+    registry.remove("e4", start);
     BOOST_TEST(registry.is_majority_in_contact(start));
     BOOST_TEST(registry.is_majority_in_contact(start + max_contact_age));
     BOOST_TEST(!registry.is_majority_in_contact(start + max_contact_age + milliseconds(1)));
