Entries of services that nobody configured are neither polled nor counted as executors

What could be seen: the leader polled the addresses of other systems' entries in the directory, and since it ended as isolated in an outage of the store of 8 s, with ten such entries beside two executors that both answered.

Cause: the consumer of the directory took each well-formed entry for an executor's. PROTOCOL.md: an entry of a service that isn't named names no executor to use.

Why this works: entries are held back until a configuration, or a job that this leader took over, names their pool; what counts and what is polled is then the same set. An executor that is known stays known for the term.

--- a/libraries/dispatch/dispatcher.cpp
+++ b/libraries/dispatch/dispatcher.cpp
@@ -38,6 +38,9 @@
 void dispatcher::set_policy(const fleet_policy& new_policy)
 {
     this->policy = new_policy;
+    this->known_pools.insert(this->policy.pools.begin(), this->policy.pools.end());
+    for (const queue_policy& queue : this->policy.queues)
+        this->known_pools.insert(queue.pool);
     for (auto& [id, job] : this->tracker.jobs()) {
         // Jobs of a removed queue keep the policy under which they were accepted.
         if (const queue_policy* queue = this->policy.find_queue_by_name(job.submission.queue()))
@@ -56,6 +59,7 @@
     constexpr std::int64_t max_age_ms = 120'000;
     const std::int64_t age_ms =
         std::clamp<std::int64_t>(static_cast<std::int64_t>(wall_ms) - submission.submitted_ms(), 0, max_age_ms);
+    this->known_pools.insert(job_policy.pool);
     job_run& job = this->tracker.add(id, submission, job_policy, progress, now);
     job.arrived_at = now - milliseconds(age_ms);
 }
--- a/libraries/dispatch/dispatcher.h
+++ b/libraries/dispatch/dispatcher.h
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -85,6 +86,9 @@
                  std::uint64_t wall_ms, boot_time now);
     void cancel_job(std::string_view id, boot_time now);
 
+    // Whether a configuration or a job of this term has named the pool. An executor of another pool belongs to another
+    // system.
+    [[nodiscard]] bool is_known_pool(std::string_view pool) const { return this->known_pools.contains(pool); }
     void update_executor(const executor_entry& entry, boot_time now);
     void remove_executor(std::string_view id, boot_time now);
     void handle_poll_report(std::string_view executor_id, const poll_report& report, boot_time sent_at, boot_time now);
@@ -145,6 +149,7 @@
     executor_registry registry;
     run_tracker tracker;
     fleet_policy policy;
+    std::set<std::string, std::less<>> known_pools;
     // Rebuilt or updated in each round.
     capacity_table capacities;
     work_queue pending_work;
--- a/libraries/jobs/fleet_policy.h
+++ b/libraries/jobs/fleet_policy.h
@@ -46,6 +46,7 @@
 struct fleet_policy {
     std::uint64_t version = 0;
     std::vector<queue_policy> queues;
+    std::vector<std::string> pools; // All that the configuration names, also those without a queue.
     std::vector<account_policy> accounts;
     request_limits limits;
 
--- a/libraries/node/executor_sessions.cpp
+++ b/libraries/node/executor_sessions.cpp
@@ -49,6 +49,7 @@
     {
         const std::string& id = record.content.key;
         if (!record.content.value) {
+            this->entries_of_unknown_pools.erase(id);
             this->parent.job_dispatcher.remove_executor(id, now);
             return;
         }
@@ -61,21 +62,31 @@
             return;
         }
         const executor* known_executor = this->parent.job_dispatcher.executors().find(id);
-        const bool was_draining = known_executor != nullptr && known_executor->entry.is_draining;
-        this->parent.job_dispatcher.update_executor(*entry, now);
-        if (entry->is_draining && !was_draining)
-            log_event("executor_draining", {{"executor", id}});
-        if (!this->parent.sessions.contains(id)) {
-            this->parent.sessions[id].timer = std::make_unique<boost::asio::steady_timer>(this->parent.loop);
-            // An executor's answers can't be interpreted before the jobs are loaded.
-            if (this->parent.is_active)
-                this->parent.poll(id);
+        if (known_executor == nullptr && !this->parent.job_dispatcher.is_known_pool(entry->pool)) {
+            this->entries_of_unknown_pools.insert_or_assign(id, *entry);
+            return;
+        }
+        this->entries_of_unknown_pools.erase(id);
+        this->update(*entry, now);
+    }
+
+    // Applies the entries whose pools are known by now.
+    void apply_entries_of_known_pools(boot_time now)
+    {
+        for (auto next = this->entries_of_unknown_pools.begin(); next != this->entries_of_unknown_pools.end();) {
+            const auto current = next++;
+            if (!this->parent.job_dispatcher.is_known_pool(current->second.pool))
+                continue;
+            const executor_entry entry = std::move(current->second);
+            this->entries_of_unknown_pools.erase(current);
+            this->update(entry, now);
         }
     }
 
     void finish_load(const std::map<std::string, std::uint64_t, std::less<>>& keys, boot_time now) override
     {
-        static_cast<void>(now);
+        std::erase_if(this->entries_of_unknown_pools,
+                      [&keys](const auto& entry) { return !keys.contains(entry.first); });
         for (const auto& [id, known_executor] : this->parent.job_dispatcher.executors().all()) {
             if (known_executor.is_listed && !keys.contains(id))
                 this->parent.job_dispatcher.remove_executor(id, now);
@@ -91,7 +102,24 @@
     }
 
 private:
+    void update(const executor_entry& entry, boot_time now)
+    {
+        const executor* known_executor = this->parent.job_dispatcher.executors().find(entry.id);
+        const bool was_draining = known_executor != nullptr && known_executor->entry.is_draining;
+        this->parent.job_dispatcher.update_executor(entry, now);
+        if (entry.is_draining && !was_draining)
+            log_event("executor_draining", {{"executor", entry.id}});
+        if (!this->parent.sessions.contains(entry.id)) {
+            this->parent.sessions[entry.id].timer = std::make_unique<boost::asio::steady_timer>(this->parent.loop);
+            // An executor's answers can't be interpreted before the jobs are loaded.
+            if (this->parent.is_active)
+                this->parent.poll(entry.id);
+        }
+    }
+
     executor_sessions& parent;
+    // Not polled and not counted: they may name other programs.
+    std::map<std::string, executor_entry> entries_of_unknown_pools;
     std::set<std::string> skipped; // Executors whose entries can't be decoded: logged once each, counted every time.
 };
 
@@ -117,6 +145,11 @@
     this->directory->start();
 }
 
+void executor_sessions::handle_pool_change(boot_time now)
+{
+    this->directory_topic_consumer->apply_entries_of_known_pools(now);
+}
+
 void executor_sessions::start_polling()
 {
     this->is_active = true;
--- a/libraries/node/executor_sessions.h
+++ b/libraries/node/executor_sessions.h
@@ -44,6 +44,9 @@
     void start();
     void start_polling();
 
+    // Called after a configuration or a job may have named a pool for the first time.
+    void handle_pool_change(boot_time now);
+
     // Neither the dispatcher nor the listener is called afterwards.
     void stop();
 
--- a/libraries/node/leader.cpp
+++ b/libraries/node/leader.cpp
@@ -195,6 +195,7 @@
     this->heartbeat_timer.cancel();
     this->state.begin_leading(*this);
     this->job_dispatcher.set_policy(*this->state.policy());
+    this->sessions->handle_pool_change(now);
     std::size_t open_jobs = 0;
     for (const auto& [id, job] : this->state.jobs().all()) {
         if (!job.submission)
@@ -268,13 +269,14 @@
     this->job_dispatcher.add_job(id, *job.submission, progress, read_wall_clock_ms(), now);
     if (job.is_cancel_requested)
         this->job_dispatcher.cancel_job(id, now);
+    this->sessions->handle_pool_change(now);
     this->schedule_round(this->next_round_delay);
 }
 
 void leader::handle_policy_change(const fleet_policy& policy, boot_time now)
 {
-    static_cast<void>(now);
     this->job_dispatcher.set_policy(policy);
+    this->sessions->handle_pool_change(now);
     this->schedule_round(this->next_round_delay);
 }
 
--- a/tests/integration/node_test.cpp
+++ b/tests/integration/node_test.cpp
@@ -48,6 +48,7 @@
 {
     const node_cluster::fleet_report report = system.read_report();
     BOOST_TEST(report.violations == 0U, report.first_violation);
+    BOOST_TEST(report.foreign_calls == 0U);
 }
 
 } // namespace
@@ -237,6 +238,23 @@
     check_no_violations(system);
 }
 
+// Guards against entries of another system in the directory that count as executors: they are more than the executors
+// and answer no poll, so the leader would take itself for cut off from most.
+BOOST_AUTO_TEST_CASE(a_leader_without_the_store_leads_on_while_its_executors_answer)
+{
+    node_cluster system({.nodes = 2, .executors = 2});
+    BOOST_TEST(system.submit(0, make_job_id(1), "batch", long_task) == 200);
+    BOOST_TEST(system.wait_for_state(make_job_id(1), "batch", "running", wait_timeout));
+    const int leader = wait_for_leader(system);
+    system.set_store_fault("refuse");
+    std::this_thread::sleep_for(milliseconds(8'000));
+    system.set_store_fault("none");
+    BOOST_TEST(system.wait_for_state(make_job_id(1), "batch", "completed", wait_timeout));
+    BOOST_TEST(system.read_log(leader).find("leading_ended") == std::string::npos);
+    BOOST_TEST(system.read_report().starts == 1U);
+    check_no_violations(system);
+}
+
 BOOST_AUTO_TEST_CASE(settings_that_cannot_be_read_end_the_process_with_the_reason)
 {
     const command_result result =
--- a/tests/stand_ins/node_platform.cpp
+++ b/tests/stand_ins/node_platform.cpp
@@ -39,6 +39,7 @@
 constexpr std::size_t max_page_records = 500;
 constexpr milliseconds retry_interval{20};
 constexpr std::size_t length_prefix_bytes = 4;
+constexpr int foreign_entries = 10;
 constexpr milliseconds heartbeat_interval{1'500};
 constexpr milliseconds entry_lifetime = 3 * heartbeat_interval; // Without a heartbeat of the executor.
 
@@ -112,7 +113,7 @@
             this->executor_listeners.back()->start("127.0.0.1:" + std::to_string(first_port + row));
         }
         this->publish_policy();
-        this->publish_foreign_entry();
+        this->publish_foreign_entries(store_port);
         this->publish_executors();
         this->serve_waiting_polls();
     }
@@ -166,9 +167,10 @@
             routes += R"({"name":")" + name + R"(","host":"h.example","path-prefix":"/)" + name +
                       R"(/","service":"pool","max-attempts":3,)" + terms + "}";
         }
-        this->append_keyed("keyed.op", "config",
-                           R"({"version":)" + std::to_string(++this->policy_version) + R"(,"routes":[)" + routes +
-                               R"(],"tenants":[{"name":"account","api-keys":["key"],"guaranteed":{"gpu":8}}]})");
+        this->append_keyed(
+            "keyed.op", "config",
+            R"({"version":)" + std::to_string(++this->policy_version) + R"(,"routes":[)" + routes +
+                R"(],"services":[{"name":"pool"}],"tenants":[{"name":"account","api-keys":["key"],"guaranteed":{"gpu":8}}]})");
     }
 
     // Writes the directory entries of all executors at a fixed interval, as real executors do for their own.
@@ -194,12 +196,19 @@
         });
     }
 
-    // An entry of another writer in the directory: well formed, but no executor. It must not disturb any node.
-    void publish_foreign_entry()
+    // Entries of another system in the directory. They are well formed but name no executors: one has a host name as
+    // its address, the others would be called at the store's port. They must not disturb any node.
+    void publish_foreign_entries(int store_port)
     {
-        this->append_keyed("keyed.servers", "cache-7",
-                           R"({"service":"render-cache","address":"cache-7.example:11211","zone":"z","state":"ready",)"
-                           R"("headroom":{"cpu":16000,"mem-mb":32768,"gpu":0},"labels":["a","r0"]})");
+        const auto publish = [this](const std::string& name, const std::string& address) {
+            this->append_keyed("keyed.servers", name,
+                               R"({"service":"render-cache","address":")" + address +
+                                   R"(","zone":"z","state":"ready",)"
+                                   R"("headroom":{"cpu":16000,"mem-mb":32768,"gpu":0},"labels":["a","r0"]})");
+        };
+        publish("cache-7", "cache-7.example:11211");
+        for (int row = 0; row < foreign_entries; ++row)
+            publish("cache-x" + std::to_string(row), "127.0.0.1:" + std::to_string(store_port));
     }
 
     // The advisor authorizes only executors with an even number.
@@ -243,6 +252,10 @@
             this->fault = query.at("kind");
             reply({200, "{}", 0});
         }
+        else if (path == "/hold" || path == "/run-start" || path == "/run-stop") {
+            ++this->foreign_calls;
+            reply({404, "{}", 0});
+        }
         else if (path == "/advise")
             this->serve_advice(request, reply);
         else if (path == "/restart") {
@@ -275,6 +288,7 @@
         json_object report;
         report.add("violations", std::uint64_t{this->fleet.violations().size()});
         report.add("first_violation", this->fleet.violations().empty() ? "" : this->fleet.violations().front());
+        report.add("foreign_calls", this->foreign_calls);
         report.add("starts", this->fleet.starts());
         std::string started;
         for (const std::string& job : this->fleet.started_jobs())
@@ -507,6 +521,7 @@
     fleet_model fleet;
     std::string fault = "none";
     int policy_version = 0;
+    std::uint64_t foreign_calls = 0; // Calls for executors at addresses that belong to no executor.
     std::set<std::string> advised_steps;
     std::uint64_t highest_token = 0; // The fencing token of the newest leader that has called an executor.
     std::optional<partition> active_partition;
--- a/tests/support/node_cluster.cpp
+++ b/tests/support/node_cluster.cpp
@@ -316,8 +316,9 @@
     const auto read_count = [&](std::string_view name) {
         return static_cast<std::uint64_t>(platform::require_integer(object, name));
     };
-    return {read_count("violations"), platform::require_string(object, "first_violation"), read_count("starts"),
-            read_count("done"), platform::require_string(object, "started_jobs")};
+    return {read_count("violations"),    platform::require_string(object, "first_violation"),
+            read_count("foreign_calls"), read_count("starts"),
+            read_count("done"),          platform::require_string(object, "started_jobs")};
 }
 
 bool node_cluster::wait_until_ready(int node, milliseconds timeout)
--- a/tests/support/node_cluster.h
+++ b/tests/support/node_cluster.h
@@ -79,9 +79,10 @@
     struct fleet_report {
         std::uint64_t violations = 0; // States that a scheduler must never cause; see fleet_model.
         std::string first_violation;
-        std::uint64_t starts = 0; // Runs of tasks that were started.
-        std::uint64_t done = 0;   // Tasks that ended successfully.
-        std::string started_jobs; // Ids of the jobs with a started task, each followed by a space.
+        std::uint64_t foreign_calls = 0; // Calls to addresses of another system that the directory lists as well.
+        std::uint64_t starts = 0;        // Runs of tasks that were started.
+        std::uint64_t done = 0;          // Tasks that ended successfully.
+        std::string started_jobs;        // Ids of the jobs with a started task, each followed by a space.
     };
     fleet_report read_report();
 
