Names: queue policy records, reachability, failover

`terms` meant two things (a leader's term, and what a queue allows), `contact` is a word of the users' pages, `news` and `roll` are not the field's words. Identifiers, one file, one suite, its environment variables and comments; the fields of the schema keep their numbers. A comment of a dispatcher case that had been parted from its case is back above it.

--- a/libraries/dispatch/dispatcher.cpp
+++ b/libraries/dispatch/dispatcher.cpp
@@ -8,7 +8,7 @@
 #include <utility>
 
 #include "jobs/job_table.h"
-#include "jobs/queue_terms.h"
+#include "jobs/queue_policy_record.h"
 
 namespace wigeon {
 
--- a/libraries/dispatch/executor_registry.cpp
+++ b/libraries/dispatch/executor_registry.cpp
@@ -93,18 +93,18 @@
     return target.latest_deadline;
 }
 
-bool executor_registry::is_majority_in_contact(boot_time now) const
+bool executor_registry::is_majority_reachable(boot_time now) const
 {
     std::size_t listed = 0;
-    std::size_t in_contact = 0;
+    std::size_t reachable = 0;
     for (const auto& [id, target] : this->executors) {
         if (!target.is_listed)
             continue;
         ++listed;
-        if (target.last_poll_sent_at && now - *target.last_poll_sent_at <= max_contact_age)
-            ++in_contact;
+        if (target.last_poll_sent_at && now - *target.last_poll_sent_at <= max_reachability_age)
+            ++reachable;
     }
-    return in_contact * 2 > listed || listed == 0;
+    return reachable * 2 > listed || listed == 0;
 }
 
 void executor_registry::observe_reached(std::size_t unknown_count, boot_time now)
@@ -126,7 +126,7 @@
         // An executor that is not listed may be cut off from the store together with a former leader, which renews its
         // leases as long as it may.
         if (!target.is_listed && this->majority_reached_at) {
-            const boot_time last_renewal = std::max(*this->majority_reached_at, restarted_at) + max_contact_age;
+            const boot_time last_renewal = std::max(*this->majority_reached_at, restarted_at) + max_reachability_age;
             const boot_time left_at = target.unlisted_since.value_or(this->leading_since) + directory_lag;
             return std::max(last_renewal, left_at) + lease;
         }
--- a/libraries/dispatch/executor_registry.h
+++ b/libraries/dispatch/executor_registry.h
@@ -24,7 +24,7 @@
 // A leader that the store has not confirmed for this long renews leases only while more than half of the listed
 // executors have answered polls that it sent within this time. If another leader has reached more than half as well,
 // one of these executors refuses the former leader's token. So this long after that, no former leader renews a lease.
-constexpr milliseconds max_contact_age{5'000};
+constexpr milliseconds max_reachability_age{5'000};
 
 // An executor's entry in the platform's directory.
 struct executor_entry {
@@ -115,8 +115,8 @@
     // Returns the deadline of a lease of maximum length, on the executor's clock, and records it as sent.
     milliseconds extend_lease(executor& target, boot_time now);
 
-    // Whether more than half of the listed executors have answered a poll that was sent within max_contact_age.
-    [[nodiscard]] bool is_majority_in_contact(boot_time now) const;
+    // Whether more than half of the listed executors have answered a poll that was sent within max_reachability_age.
+    [[nodiscard]] bool is_majority_reachable(boot_time now) const;
 
     // Notes the time at which more than half of all executors have answered this leader: those known here, and
     // `unknown_count` others that have tasks.
--- a/libraries/jobs/queue_terms.h
+++ b/libraries/jobs/queue_policy_record.h
@@ -1,4 +1,4 @@
-// The terms of a queue as they are recorded with each job, for a leader whose configuration no longer has the queue.
+// The policy of a queue as it is recorded with each job, for a leader whose configuration no longer has the queue.
 
 #pragma once
 
@@ -7,7 +7,7 @@
 
 namespace wigeon {
 
-records::QueueTerms make_queue_terms(const queue_policy& queue);
+records::QueuePolicy make_queue_policy_record(const queue_policy& queue);
 
 // Returns the policy under which the job was accepted. If its record has none, the job is neither placed nor failed.
 queue_policy restore_accepted_policy(const records::Submission& submission);
--- a/libraries/node/leader.cpp
+++ b/libraries/node/leader.cpp
@@ -430,11 +430,11 @@
 }
 
 // Another node may lead by now if the store has confirmed nothing lately. Then an executor that both nodes reach would
-// refuse this one's token, so contact with most executors shows that there is no other leader with such contact.
+// refuse this one's token, so while most answer this node, no other leader reaches most of them.
 bool leader::check_leadership(boot_time now)
 {
-    if (now - this->recorder->confirmed_as_of() <= max_contact_age ||
-        this->job_dispatcher.executors().is_majority_in_contact(now))
+    if (now - this->recorder->confirmed_as_of() <= max_reachability_age ||
+        this->job_dispatcher.executors().is_majority_reachable(now))
         return true;
     this->finish(leadership_end::isolated);
     return false;
--- a/tests/dispatch/dispatcher_test.cpp
+++ b/tests/dispatch/dispatcher_test.cpp
@@ -13,14 +13,14 @@
 
 constexpr dispatch_limits limits{milliseconds(6'000), milliseconds(200), milliseconds(5'000)};
 
-records::QueueTerms make_terms()
+records::QueuePolicy make_accepted_policy()
 {
-    records::QueueTerms terms;
-    terms.set_pool("pool");
-    terms.set_priority(2);
-    terms.set_max_attempts(3);
-    terms.set_stretch(1.5);
-    return terms;
+    records::QueuePolicy accepted;
+    accepted.set_pool("pool");
+    accepted.set_priority(2);
+    accepted.set_max_attempts(3);
+    accepted.set_stretch(1.5);
+    return accepted;
 }
 
 struct fleet_fixture {
@@ -91,13 +91,13 @@
         return id;
     }
 
-    std::string add_of_removed_queue(const std::optional<records::QueueTerms>& terms,
+    std::string add_of_removed_queue(const std::optional<records::QueuePolicy>& accepted,
                                      const records::JobProgress& progress = {})
     {
         records::Submission submission;
         submission.set_queue("removed");
-        if (terms)
-            *submission.mutable_accepted_terms() = *terms;
+        if (accepted)
+            *submission.mutable_accepted_policy() = *accepted;
         submission.add_steps()->set_accelerators(1);
         std::string id = "job" + std::to_string(++this->jobs);
         this->dispatch.add_job(id, submission, progress, 0, this->now);
@@ -239,14 +239,13 @@
     BOOST_TEST(this->is_placed(wide));
 }
 
-// What is recorded must not grow with the width of a job, or its cost grows with the square of the width.
-// Guards against jobs that a new leader takes over after their queue was removed: it must keep the terms under which
+// Guards against jobs that a new leader takes over after their queue was removed: it must keep the policy under which
 // they were accepted, or they fail early or wait for good.
 BOOST_AUTO_TEST_SUITE(a_job_of_a_removed_queue)
 
 BOOST_FIXTURE_TEST_CASE(is_run_by_a_new_leader_on_its_pool_with_all_its_attempts, fleet_fixture)
 {
-    const std::string id = this->add_of_removed_queue(make_terms());
+    const std::string id = this->add_of_removed_queue(make_accepted_policy());
     for (std::uint32_t run = 1; run <= 3; ++run) {
         this->decide();
         const job_run& job = *this->dispatch.job_runs().find(id);
@@ -257,9 +256,9 @@
     BOOST_TEST((this->dispatch.job_runs().find(id)->phase == records::JOB_PHASE_FAILED));
 }
 
-BOOST_FIXTURE_TEST_CASE(is_run_on_the_terms_of_its_queue_when_that_is_back, fleet_fixture)
+BOOST_FIXTURE_TEST_CASE(is_run_on_the_policy_of_its_queue_when_that_is_back, fleet_fixture)
 {
-    records::QueueTerms former = make_terms();
+    records::QueuePolicy former = make_accepted_policy();
     former.set_pool("former");
     const std::string id = this->add_of_removed_queue(former);
     this->decide();
@@ -271,8 +270,8 @@
     BOOST_TEST(this->is_placed(id));
 }
 
-// An earlier build accepted the job and recorded no terms.
-BOOST_FIXTURE_TEST_CASE(whose_terms_are_unknown_is_neither_started_nor_failed, fleet_fixture)
+// An earlier build accepted the job and recorded no policy.
+BOOST_FIXTURE_TEST_CASE(whose_policy_is_unknown_is_neither_started_nor_failed, fleet_fixture)
 {
     records::JobProgress progress;
     progress.set_phase(records::JOB_PHASE_RUNNING);
@@ -290,6 +289,7 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+// What is recorded must not grow with the width of a job, or its cost grows with the square of the width.
 BOOST_FIXTURE_TEST_CASE(the_end_of_a_task_records_that_task_only, fleet_fixture)
 {
     const std::string id = this->add("q2", 8, 4, false);
--- a/tests/dispatch/executor_registry_test.cpp
+++ b/tests/dispatch/executor_registry_test.cpp
@@ -102,30 +102,30 @@
     BOOST_TEST((find_expiry() >= start + max_unconfirmed_leadership + max_lease));
     registry.observe_reached(0, reached_at);
     registry.observe_reached(0, reached_at + milliseconds(9'000));
-    BOOST_TEST((find_expiry() >= reached_at + max_contact_age + add_clock_drift(max_lease)));
+    BOOST_TEST((find_expiry() >= reached_at + max_reachability_age + add_clock_drift(max_lease)));
     BOOST_TEST((find_expiry() < start + max_unconfirmed_leadership));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
 
-BOOST_AUTO_TEST_SUITE(the_majority_is_in_contact)
+BOOST_AUTO_TEST_SUITE(the_majority_is_reachable)
 
 BOOST_AUTO_TEST_CASE(while_more_than_half_of_the_listed_executors_answer)
 {
     executor_registry registry(max_lease, start);
-    BOOST_TEST(registry.is_majority_in_contact(start)); // There is nothing to renew.
+    BOOST_TEST(registry.is_majority_reachable(start)); // There is nothing to renew.
     for (const char* id : {"e1", "e2", "e3", "e4"})
         registry.update(make_entry(id), start);
-    BOOST_TEST(!registry.is_majority_in_contact(start));
+    BOOST_TEST(!registry.is_majority_reachable(start));
     for (const char* id : {"e1", "e2"})
         registry.apply_poll_report(*registry.find(id), make_report(milliseconds(5'000)), start, start);
-    BOOST_TEST(!registry.is_majority_in_contact(start));
+    BOOST_TEST(!registry.is_majority_reachable(start));
     registry.remove("e4", start);
-    BOOST_TEST(registry.is_majority_in_contact(start));
-    BOOST_TEST(registry.is_majority_in_contact(start + max_contact_age));
-    BOOST_TEST(!registry.is_majority_in_contact(start + max_contact_age + milliseconds(1)));
+    BOOST_TEST(registry.is_majority_reachable(start));
+    BOOST_TEST(registry.is_majority_reachable(start + max_reachability_age));
+    BOOST_TEST(!registry.is_majority_reachable(start + max_reachability_age + milliseconds(1)));
     registry.find("e2")->last_poll_sent_at.reset(); // A poll has failed.
-    BOOST_TEST(!registry.is_majority_in_contact(start));
+    BOOST_TEST(!registry.is_majority_reachable(start));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/integration/node_roll_test.cpp
+++ b/tests/integration/node_failover_test.cpp
@@ -1,10 +1,10 @@
-// Leaders of wigeon-node that are replaced again and again above a large fleet, as in a roll or in a series of crashes:
-// killed, told to stop, paused, or cut off from the store together with some executors. Meanwhile callers submit jobs
-// whose tasks outlast several leaders, and executors restart.
+// Leaders of wigeon-node that are replaced again and again above a large fleet, as in a rolling restart or in a series
+// of crashes: killed, told to stop, paused, or cut off from the store together with some executors. Meanwhile callers
+// submit jobs whose tasks outlast several leaders, and executors restart.
 //
-// WIGEON_ROLL_SEEDS lists the seeds ("1,2,3"), WIGEON_ROLL_SECONDS is the time for which faults are injected with each
-// seed, WIGEON_ROLL_NODES and WIGEON_ROLL_EXECUTORS are the size of the system; with WIGEON_ROLL_PARTITIONS=0 no leader
-// is cut off.
+// WIGEON_FAILOVER_SEEDS lists the seeds ("1,2,3"), WIGEON_FAILOVER_SECONDS is the time for which faults are injected
+// with each seed, WIGEON_FAILOVER_NODES and WIGEON_FAILOVER_EXECUTORS are the size of the system; with
+// WIGEON_FAILOVER_PARTITIONS=0 no leader is cut off.
 
 #include <csignal>
 #include <cstdlib>
@@ -30,9 +30,9 @@
     return value == nullptr ? fallback : value;
 }
 
-class leader_roll {
+class failover_run {
 public:
-    leader_roll(std::uint64_t seed, int nodes, int executors, bool cuts_leaders_off)
+    failover_run(std::uint64_t seed, int nodes, int executors, bool cuts_leaders_off)
         : random(seed),
           has_partitions(cuts_leaders_off),
           node_count(nodes),
@@ -174,20 +174,20 @@
 
 } // namespace
 
-BOOST_AUTO_TEST_SUITE(node_roll_story)
+BOOST_AUTO_TEST_SUITE(node_failover_story)
 
 BOOST_AUTO_TEST_CASE(no_task_runs_twice_while_leaders_are_replaced)
 {
-    const int seconds = std::stoi(read_environment("WIGEON_ROLL_SECONDS", "30"));
-    const int nodes = std::stoi(read_environment("WIGEON_ROLL_NODES", "4"));
-    const int executors = std::stoi(read_environment("WIGEON_ROLL_EXECUTORS", "40"));
-    const bool has_partitions = read_environment("WIGEON_ROLL_PARTITIONS", "1") != "0";
-    for (const std::string& seed : split_list(read_environment("WIGEON_ROLL_SEEDS", "1"), ',')) {
+    const int seconds = std::stoi(read_environment("WIGEON_FAILOVER_SECONDS", "30"));
+    const int nodes = std::stoi(read_environment("WIGEON_FAILOVER_NODES", "4"));
+    const int executors = std::stoi(read_environment("WIGEON_FAILOVER_EXECUTORS", "40"));
+    const bool has_partitions = read_environment("WIGEON_FAILOVER_PARTITIONS", "1") != "0";
+    for (const std::string& seed : split_list(read_environment("WIGEON_FAILOVER_SEEDS", "1"), ',')) {
         BOOST_TEST_CONTEXT("seed " << seed)
         {
-            leader_roll roll(std::stoull(seed), nodes, executors, has_partitions);
-            roll.run(std::chrono::seconds(seconds));
-            roll.check();
+            failover_run failovers(std::stoull(seed), nodes, executors, has_partitions);
+            failovers.run(std::chrono::seconds(seconds));
+            failovers.check();
         }
     }
 }
--- a/tests/models/fleet_model.h
+++ b/tests/models/fleet_model.h
@@ -51,7 +51,7 @@
     // from now; a start after it is refused.
     order_result start(const start_order& order, milliseconds deadline, std::uint64_t token, boot_time now);
     // Whether a poll with this token would get more than the tasks that run: ends, or a refusal.
-    [[nodiscard]] bool has_news(const std::string& id, std::uint64_t token) const
+    [[nodiscard]] bool has_updates(const std::string& id, std::uint64_t token) const
     {
         const executor_state& executor = this->executors.at(id);
         return !executor.ended.empty() || token < executor.token;
--- a/tests/stand_ins/node_platform.cpp
+++ b/tests/stand_ins/node_platform.cpp
@@ -458,8 +458,8 @@
         std::vector<waiting_poll> waiting = std::move(this->waiting_polls);
         this->waiting_polls.clear();
         for (waiting_poll& candidate : waiting) {
-            const bool is_over =
-                now >= candidate.deadline || this->fleet.has_news(candidate.executor, candidate.request.fencing_token);
+            const bool is_over = now >= candidate.deadline ||
+                                 this->fleet.has_updates(candidate.executor, candidate.request.fencing_token);
             if (is_over)
                 this->poll(candidate);
             else
