The run tracker's index of tasks and the restoring of jobs are in files of their own

The list of unresolved tasks by executor is a class (task_index); what a job takes over from records and adds by the wall clock is in job_run; the registry answers whether a lease has expired, also for an executor that it doesn't know.

--- a/libraries/dispatch/executor_registry.cpp
+++ b/libraries/dispatch/executor_registry.cpp
@@ -136,6 +136,14 @@
     return *target.clock_read_at + add_clock_drift(left) + lease_expiry_margin;
 }
 
+bool executor_registry::has_lease_expired(std::string_view id, boot_time now) const
+{
+    executor unknown;
+    unknown.is_listed = false;
+    const executor* target = this->find(id);
+    return now > this->find_lease_expiry(target == nullptr ? unknown : *target);
+}
+
 void executor_registry::apply_poll_report(executor& target, const poll_report& report, boot_time sent_at, boot_time now)
 {
     // A former leader may have renewed the leases just before this poll.
--- a/libraries/dispatch/executor_registry.h
+++ b/libraries/dispatch/executor_registry.h
@@ -125,6 +125,9 @@
     // When all tasks on the executor have certainly ended if no further lease renewal reaches it.
     [[nodiscard]] boot_time find_lease_expiry(const executor& target) const;
 
+    // Whether that time has passed. An executor that is not known here has no entry in the directory.
+    [[nodiscard]] bool has_lease_expired(std::string_view id, boot_time now) const;
+
     // Updates the executor's clock, lease deadline and last seen end from an answered poll.
     void apply_poll_report(executor& target, const poll_report& report, boot_time sent_at, boot_time now);
 
--- a/libraries/dispatch/job_run.cpp
+++ b/libraries/dispatch/job_run.cpp
@@ -31,6 +31,28 @@
     this->occurrences_added = occurrence + 1;
 }
 
+void job_run::add_begun_occurrences(const records::JobProgress& progress, boot_time now)
+{
+    std::uint32_t count = this->submission.occurrences() == 0 ? 1 : 0;
+    for (const records::UnitProgress& saved : progress.units())
+        count = std::max(count, saved.occurrence() + 1);
+    for (std::uint32_t occurrence = 0; occurrence < count; ++occurrence)
+        this->add_occurrence(occurrence, now);
+}
+
+void job_run::add_due_occurrences(std::uint64_t wall_ms, boot_time now)
+{
+    while (this->occurrences_added < this->occurrence_count()) {
+        const std::int64_t due = this->submission.first_due_ms() +
+                                 static_cast<std::int64_t>(this->occurrences_added) * this->submission.interval_ms();
+        if (static_cast<std::int64_t>(wall_ms) < due)
+            return;
+        const std::uint32_t occurrence = this->occurrences_added;
+        this->add_occurrence(occurrence, now);
+        this->mark_ready_steps(occurrence, now);
+    }
+}
+
 void job_run::mark_ready_steps(std::uint32_t occurrence, boot_time now)
 {
     const auto is_step_done = [this, occurrence](std::uint32_t step) {
@@ -56,6 +78,38 @@
     }
 }
 
+work_unit* job_run::restore_unit(const records::UnitProgress& saved, const records::JobProgress& progress,
+                                 boot_time now)
+{
+    std::uint32_t task_row = 0;
+    work_unit* unit = this->find_unit({saved.occurrence(), saved.step(), saved.first_task()}, task_row);
+    if (unit == nullptr)
+        return nullptr;
+    unit->run = saved.run();
+    unit->placed_at = now; // The time of placement is not recorded; the work counts as just begun.
+    unit->failures = saved.failures();
+    unit->counted_run = saved.counted_run();
+    unit->checkpoint = saved.checkpoint();
+    unit->is_recorded = true;
+    if (saved.done()) {
+        unit->is_done = true;
+        --this->steps[unit->step_row].units_left;
+    }
+    if (saved.placed_on_size() != static_cast<int>(unit->task_count))
+        return unit;
+    for (const std::uint32_t row : saved.placed_on()) {
+        placed_task task;
+        if (static_cast<int>(row) < progress.executors_size()) {
+            task.executor = progress.executors(static_cast<int>(row)).id();
+            task.incarnation_ms = progress.executors(static_cast<int>(row)).born_ms();
+        }
+        task.phase = task_phase::uncertain;
+        ++this->unresolved_tasks;
+        unit->placed_tasks.push_back(std::move(task));
+    }
+    return unit;
+}
+
 work_unit* job_run::find_unit(const task_position& position, std::uint32_t& task_row)
 {
     for (work_unit& unit : this->units) {
@@ -159,14 +213,18 @@
 }
 
 std::string job_run::make_unit_key(const work_unit& unit) const
+{
+    return this->format_task_name(unit, 0);
+}
+
+std::string job_run::format_task_name(const work_unit& unit, std::uint32_t task_row) const
 {
     const step_run& step = this->steps[unit.step_row];
-    return make_task_name(this->id, {step.occurrence, step.step, unit.first_task});
+    return make_task_name(this->id, {step.occurrence, step.step, unit.first_task + task_row});
 }
 
 void job_run::collect_planned_starts(const work_unit& unit, std::vector<start_order>& orders) const
 {
-    const step_run& step = this->steps[unit.step_row];
     for (std::uint32_t row = 0; row < unit.placed_tasks.size(); ++row) {
         const placed_task& task = unit.placed_tasks[row];
         if (task.phase != task_phase::planned)
@@ -174,7 +232,7 @@
         orders.push_back({{this->id, this->row_of(unit), row, unit.run},
                           task.executor,
                           task.incarnation_ms,
-                          make_task_name(this->id, {step.occurrence, step.step, unit.first_task + row}),
+                          this->format_task_name(unit, row),
                           this->submission.payload(),
                           unit.checkpoint,
                           task.ticket});
--- a/libraries/dispatch/job_run.h
+++ b/libraries/dispatch/job_run.h
@@ -99,13 +99,25 @@
     // Adds the steps and units of the next occurrence; none of them may be placed yet.
     void add_occurrence(std::uint32_t occurrence, boot_time now);
 
+    // Adds the occurrences of which the progress has units, and the only one of a job that runs once.
+    void add_begun_occurrences(const records::JobProgress& progress, boot_time now);
+
+    // Adds the occurrences that are due by the wall clock.
+    void add_due_occurrences(std::uint64_t wall_ms, boot_time now);
+
     // Marks the steps whose earlier steps are done as ready, and lets their units wait for placement.
     void mark_ready_steps(std::uint32_t occurrence, boot_time now);
 
+    // Restores what a former leader recorded of a unit. Its placed tasks are uncertain. Returns null if the job has no
+    // such unit.
+    work_unit* restore_unit(const records::UnitProgress& saved, const records::JobProgress& progress, boot_time now);
+
     // Returns the unit that holds the task, and sets `task_row` to the task's row in that unit; null if the job has no
     // such task.
     work_unit* find_unit(const task_position& position, std::uint32_t& task_row);
 
+    [[nodiscard]] std::string format_task_name(const work_unit& unit, std::uint32_t task_row) const;
+
     // Appends the start orders that may be sent once the current record of the job, or of the unit, is in the store.
     void collect_planned_starts(std::vector<start_order>& orders) const;
     void collect_planned_starts(const work_unit& unit, std::vector<start_order>& orders) const;
--- a/libraries/dispatch/run_tracker.cpp
+++ b/libraries/dispatch/run_tracker.cpp
@@ -48,14 +48,10 @@
     job.policy = policy;
     job.arrived_at = now;
     job.phase = progress.phase();
-    std::uint32_t occurrences = submission.occurrences() == 0 ? 1 : 0;
-    for (const records::UnitProgress& saved : progress.units())
-        occurrences = std::max(occurrences, saved.occurrence() + 1);
-    for (std::uint32_t occurrence = 0; occurrence < occurrences; ++occurrence)
-        job.add_occurrence(occurrence, now);
+    job.add_begun_occurrences(progress, now);
     for (const records::UnitProgress& saved : progress.units())
         this->restore_unit(job, saved, progress, now);
-    for (std::uint32_t occurrence = 0; occurrence < occurrences; ++occurrence)
+    for (std::uint32_t occurrence = 0; occurrence < job.occurrences_added; ++occurrence)
         job.mark_ready_steps(occurrence, now);
     this->restore_phase(job, now);
     return job;
@@ -74,8 +70,7 @@
         }
         return;
     }
-    const auto has_started = [](const work_unit& unit) { return unit.is_recorded; };
-    if (job.phase == records::JOB_PHASE_QUEUED && std::any_of(job.units.begin(), job.units.end(), has_started)) {
+    if (job.phase == records::JOB_PHASE_QUEUED && std::ranges::any_of(job.units, &work_unit::is_recorded)) {
         job.phase = records::JOB_PHASE_RUNNING;
         job.is_phase_changed = true;
     }
@@ -83,61 +78,26 @@
 
 void run_tracker::add_due_occurrences(job_run& job, std::uint64_t wall_ms, boot_time now)
 {
-    if (!is_active(job))
-        return;
-    while (job.occurrences_added < job.occurrence_count()) {
-        const std::int64_t due = job.submission.first_due_ms() +
-                                 static_cast<std::int64_t>(job.occurrences_added) * job.submission.interval_ms();
-        if (static_cast<std::int64_t>(wall_ms) < due)
-            return;
-        const std::uint32_t occurrence = job.occurrences_added;
-        job.add_occurrence(occurrence, now);
-        job.mark_ready_steps(occurrence, now);
-    }
+    if (is_active(job))
+        job.add_due_occurrences(wall_ms, now);
 }
 
 void run_tracker::restore_unit(job_run& job, const records::UnitProgress& saved, const records::JobProgress& progress,
                                boot_time now)
 {
-    std::uint32_t task_row = 0;
-    work_unit* unit = job.find_unit({saved.occurrence(), saved.step(), saved.first_task()}, task_row);
+    const work_unit* unit = job.restore_unit(saved, progress, now);
     if (unit == nullptr)
         return;
-    unit->run = saved.run();
-    unit->placed_at = now; // The time of placement is not recorded; the work counts as just begun.
-    unit->failures = saved.failures();
-    unit->counted_run = saved.counted_run();
-    unit->checkpoint = saved.checkpoint();
-    unit->is_recorded = true;
-    if (saved.done()) {
-        unit->is_done = true;
-        --job.steps[unit->step_row].units_left;
-    }
-    if (saved.placed_on_size() != static_cast<int>(unit->task_count))
-        return;
     const auto unit_row = job.row_of(*unit);
     const resources per_task = find_task_resources(job.step_of(*unit));
-    for (const std::uint32_t row : saved.placed_on()) {
-        placed_task task;
-        if (static_cast<int>(row) < progress.executors_size()) {
-            task.executor = progress.executors(static_cast<int>(row)).id();
-            task.incarnation_ms = progress.executors(static_cast<int>(row)).born_ms();
-        }
-        task.phase = task_phase::uncertain;
-        const auto index = static_cast<std::uint32_t>(unit->placed_tasks.size());
-        this->index_task({job.id, unit_row, index, unit->run}, task.executor);
+    std::uint32_t task_row = 0;
+    for (const placed_task& task : unit->placed_tasks) {
+        this->index.add({job.id, unit_row, task_row++, unit->run}, task.executor);
         if (executor* target = this->registry.find(task.executor))
             target->used += per_task;
-        ++job.unresolved_tasks;
-        unit->placed_tasks.push_back(std::move(task));
     }
 }
 
-void run_tracker::index_task(const task_reference& reference, const std::string& executor_id)
-{
-    this->tasks_by_executor[executor_id].push_back(reference);
-}
-
 placed_task* run_tracker::find_task(const task_reference& reference, job_run*& job, work_unit*& unit)
 {
     job = this->find(reference.job);
@@ -164,7 +124,7 @@
         placed_task task;
         task.executor = id;
         task.incarnation_ms = target->entry.incarnation_ms;
-        this->index_task({job.id, unit_row, static_cast<std::uint32_t>(unit.placed_tasks.size()), unit.run}, id);
+        this->index.add({job.id, unit_row, static_cast<std::uint32_t>(unit.placed_tasks.size()), unit.run}, id);
         ++job.unresolved_tasks;
         unit.placed_tasks.push_back(std::move(task));
     }
@@ -265,25 +225,15 @@
         target->used -= find_task_resources(job.step_of(unit));
     const auto unit_row = job.row_of(unit);
     const auto task_row = static_cast<std::uint32_t>(&task - unit.placed_tasks.data());
-    const auto indexed = this->tasks_by_executor.find(task.executor);
-    if (indexed != this->tasks_by_executor.end()) {
-        std::erase_if(indexed->second, [&](const task_reference& other) {
-            return other.job == job.id && other.unit_row == unit_row && other.task_row == task_row;
-        });
-    }
+    this->index.remove({job.id, unit_row, task_row, unit.run}, task.executor);
     const bool is_settled = std::all_of(unit.placed_tasks.begin(), unit.placed_tasks.end(),
                                         [](const placed_task& other) { return other.phase == task_phase::resolved; });
     if (is_settled) {
         this->settle(job, unit, now);
         return;
     }
-    if (!unit.is_done) {
-        for (std::size_t row = 0; row < unit.placed_tasks.size(); ++row) {
-            this->request_stop(job, unit, unit.placed_tasks[row], now);
-            if (unit.placed_tasks.empty())
-                return;
-        }
-    }
+    if (!unit.is_done)
+        this->stop_unit(job, unit, now);
 }
 
 void run_tracker::settle(job_run& job, work_unit& unit, boot_time now)
@@ -438,11 +388,7 @@
 void run_tracker::stop_missing_tasks(const executor& source, std::span<const task_reference> running, boot_time sent_at,
                                      boot_time now)
 {
-    const auto indexed = this->tasks_by_executor.find(source.entry.id);
-    if (indexed == this->tasks_by_executor.end())
-        return;
-    const std::vector<task_reference> expected = indexed->second;
-    for (const task_reference& reference : expected) {
+    for (const task_reference& reference : this->copy_tasks_on(source.entry.id)) {
         job_run* job = nullptr;
         work_unit* unit = nullptr;
         placed_task* task = this->find_task(reference, job, unit);
@@ -463,11 +409,7 @@
 void run_tracker::resolve_previous_incarnations(std::string_view executor_id, std::uint64_t new_incarnation_ms,
                                                 boot_time now)
 {
-    const auto indexed = this->tasks_by_executor.find(executor_id);
-    if (indexed == this->tasks_by_executor.end())
-        return;
-    const std::vector<task_reference> lost = indexed->second;
-    for (const task_reference& reference : lost) {
+    for (const task_reference& reference : this->copy_tasks_on(executor_id)) {
         job_run* job = nullptr;
         work_unit* unit = nullptr;
         placed_task* task = this->find_task(reference, job, unit);
@@ -488,28 +430,17 @@
 void run_tracker::resolve_expired(boot_time now)
 {
     const auto unknown_count =
-        std::count_if(this->tasks_by_executor.begin(), this->tasks_by_executor.end(), [this](const auto& entry) {
+        std::count_if(this->index.all().begin(), this->index.all().end(), [this](const auto& entry) {
             return !entry.second.empty() && this->registry.find(entry.first) == nullptr;
         });
     this->registry.observe_reached(static_cast<std::size_t>(unknown_count), now);
     std::vector<std::string> expired;
-    for (const auto& [id, references] : this->tasks_by_executor) {
-        if (references.empty())
-            continue;
-        const executor* target = this->registry.find(id);
-        if (target == nullptr) {
-            executor unknown;
-            unknown.is_listed = false;
-            if (now > this->registry.find_lease_expiry(unknown))
-                expired.push_back(id);
-            continue;
-        }
-        if (now > this->registry.find_lease_expiry(*target))
+    for (const auto& [id, references] : this->index.all()) {
+        if (!references.empty() && this->registry.has_lease_expired(id, now))
             expired.push_back(id);
     }
     for (const std::string& id : expired) {
-        const std::vector<task_reference> references = this->tasks_by_executor[id];
-        for (const task_reference& reference : references) {
+        for (const task_reference& reference : this->copy_tasks_on(id)) {
             job_run* job = nullptr;
             work_unit* unit = nullptr;
             placed_task* task = this->find_task(reference, job, unit);
@@ -523,7 +454,7 @@
 {
     std::vector<stop_order> orders = std::move(this->orphan_stops);
     this->orphan_stops.clear();
-    for (const auto& [executor_id, references] : this->tasks_by_executor) {
+    for (const auto& [executor_id, references] : this->index.all()) {
         for (const task_reference& reference : references) {
             job_run* job = nullptr;
             work_unit* unit = nullptr;
@@ -536,10 +467,7 @@
                 continue;
             task->is_stop_in_flight = true;
             task->stop_sent_at = now;
-            const step_run& step = job->steps[unit->step_row];
-            orders.push_back(
-                {reference, executor_id,
-                 make_task_name(job->id, {step.occurrence, step.step, unit->first_task + reference.task_row})});
+            orders.push_back({reference, executor_id, job->format_task_name(*unit, reference.task_row)});
         }
     }
     return orders;
@@ -553,12 +481,6 @@
     });
 }
 
-bool run_tracker::has_tasks_on(std::string_view executor_id) const
-{
-    const auto indexed = this->tasks_by_executor.find(executor_id);
-    return indexed != this->tasks_by_executor.end() && !indexed->second.empty();
-}
-
 resources run_tracker::sum_used(std::string_view executor_id) const
 {
     resources used;
@@ -569,12 +491,10 @@
     return used;
 }
 
-std::span<const task_reference> run_tracker::tasks_on(std::string_view executor_id) const
+std::vector<task_reference> run_tracker::copy_tasks_on(std::string_view executor_id) const
 {
-    const auto indexed = this->tasks_by_executor.find(executor_id);
-    if (indexed == this->tasks_by_executor.end())
-        return {};
-    return indexed->second;
+    const auto tasks = this->tasks_on(executor_id);
+    return {tasks.begin(), tasks.end()};
 }
 
 } // namespace wigeon
--- a/libraries/dispatch/run_tracker.h
+++ b/libraries/dispatch/run_tracker.h
@@ -16,6 +16,7 @@
 #include "dispatch/executor_registry.h"
 #include "dispatch/job_run.h"
 #include "dispatch/orders.h"
+#include "dispatch/task_index.h"
 #include "jobs/job_keys.h"
 
 namespace wigeon {
@@ -62,10 +63,13 @@
     // Removes jobs that are final, recorded, and have no unresolved tasks.
     void forget_ended_jobs();
 
-    [[nodiscard]] bool has_tasks_on(std::string_view executor_id) const;
+    [[nodiscard]] bool has_tasks_on(std::string_view executor_id) const { return !this->tasks_on(executor_id).empty(); }
 
     // Unresolved tasks on the executor.
-    [[nodiscard]] std::span<const task_reference> tasks_on(std::string_view executor_id) const;
+    [[nodiscard]] std::span<const task_reference> tasks_on(std::string_view executor_id) const
+    {
+        return this->index.tasks_on(executor_id);
+    }
 
     // Resources of these tasks.
     [[nodiscard]] resources sum_used(std::string_view executor_id) const;
@@ -86,12 +90,13 @@
     void resolve(job_run& job, work_unit& unit, placed_task& task, boot_time now);
     void request_stop(job_run& job, work_unit& unit, placed_task& task, boot_time now);
     void settle(job_run& job, work_unit& unit, boot_time now);
-    void index_task(const task_reference& reference, const std::string& executor_id);
+    // For loops that resolve tasks, which changes the index.
+    [[nodiscard]] std::vector<task_reference> copy_tasks_on(std::string_view executor_id) const;
 
     executor_registry& registry;
     milliseconds max_stop_time; // Longest time that an executor takes for a stop.
     std::map<std::string, job_run, std::less<>> jobs_by_id;
-    std::map<std::string, std::vector<task_reference>, std::less<>> tasks_by_executor; // Unresolved tasks.
+    task_index index;
     std::vector<stop_order> orphan_stops; // For tasks that run without being known here.
 };
 
