--- a/tests/integration/node_failover_test.cpp
+++ b/tests/integration/node_failover_test.cpp
@@ -1,11 +1,12 @@
 // Leaders of wigeon-node that are replaced again and again above a large fleet, as in a rolling restart or in a series
 // of crashes: killed, told to stop, paused, or cut off from the store together with some executors. Meanwhile callers
-// submit jobs whose tasks outlast several leaders, and executors restart.
+// submit jobs whose tasks outlast several leaders and cancel some of them, and executors restart.
 //
 // WIGEON_FAILOVER_SEEDS lists the seeds ("1,2,3"), WIGEON_FAILOVER_SECONDS is the time for which faults are injected
 // with each seed, WIGEON_FAILOVER_NODES and WIGEON_FAILOVER_EXECUTORS are the size of the system; with
 // WIGEON_FAILOVER_PARTITIONS=0 no leader is cut off.
 
+#include <algorithm>
 #include <csignal>
 #include <cstdlib>
 #include <random>
@@ -51,6 +52,8 @@
             if (now >= this->next_fault_at)
                 this->inject_fault(now);
             this->submit_job();
+            if (this->draw(4) == 0)
+                this->cancel_job();
             std::this_thread::sleep_for(step_time);
         }
         this->end_faults(boot_time::max());
@@ -147,9 +150,10 @@
     {
         const std::string count = std::to_string(1 + this->draw(static_cast<std::uint32_t>(this->executor_count) / 8));
         const std::string gang = this->draw(4) == 0 ? "true" : "false";
-        const std::string steps = R"({"count":)" + count + R"(,"cpu":1000,"mem-mb":100,"gpu":)" +
-                                  std::to_string(1 + this->draw(3)) + R"(,"estimate-ms":)" +
-                                  std::to_string(500 + this->draw(20'000)) + R"(,"gang":)" + gang + "}";
+        const std::string step = R"("cpu":1000,"mem-mb":100,"gpu":)" + std::to_string(1 + this->draw(3)) +
+                                 R"(,"estimate-ms":)" + std::to_string(500 + this->draw(20'000));
+        const std::string steps =
+            R"({"count":)" + count + "," + step + R"(,"gang":)" + gang + R"(},{"count":1,)" + step + R"(,"after":[0]})";
         const std::string digits = std::to_string(++this->last_job);
         const std::string job = std::string(16 - digits.size(), '0') + digits;
         const int node = this->draw_index(this->node_count);
@@ -157,6 +161,21 @@
             this->accepted.push_back(job);
     }
 
+    // Mostly while the first step runs, so that the second one must not start. A job whose cancellation may have been
+    // stored is not expected to complete.
+    void cancel_job()
+    {
+        if (this->accepted.empty())
+            return;
+        const std::size_t recent = std::min<std::size_t>(this->accepted.size(), 5);
+        const std::size_t index = this->accepted.size() - 1 - this->draw(static_cast<std::uint32_t>(recent));
+        const int node = this->draw_index(this->node_count);
+        if (node == this->paused_node)
+            return;
+        this->system.cancel(node, this->accepted[index], "batch");
+        this->accepted.erase(this->accepted.begin() + static_cast<std::ptrdiff_t>(index));
+    }
+
     std::mt19937_64 random;
     const bool has_partitions;
     const int node_count;
--- a/tests/models/fleet_model.cpp
+++ b/tests/models/fleet_model.cpp
@@ -157,6 +157,7 @@
         this->violation_messages.push_back("start after a recorded end of " + order.task);
     this->check_step_order(order.task, *step);
     this->check_attempts(order.task);
+    this->check_cancellation(order.task, now);
     run_state run;
     run.run = order.reference.run;
     run.started_at = now;
@@ -205,6 +206,14 @@
         this->violation_messages.push_back("start after the last attempt of " + task);
 }
 
+void fleet_model::check_cancellation(const std::string& task, boot_time now)
+{
+    const auto cancelled = this->cancelled_at.find(task.substr(0, task.find('.')));
+    if (cancelled != this->cancelled_at.end() && now - cancelled->second > this->limits.max_start_after_cancel)
+        this->violation_messages.push_back("start of a cancelled job after " +
+                                           std::to_string((now - cancelled->second).count()) + " ms: " + task);
+}
+
 bool fleet_model::is_job_done(const std::string& job) const
 {
     const auto steps = static_cast<std::uint32_t>(this->jobs.at(job).steps_size());
--- a/tests/models/fleet_model.h
+++ b/tests/models/fleet_model.h
@@ -19,8 +19,9 @@
 
 struct fleet_limits {
     milliseconds max_lease{6'000};
-    milliseconds gang_timeout{3'000};  // How long a task waits for the other tasks of its gang.
-    std::uint32_t max_attempts = 3;    // Failed runs after which a task must not be started again.
+    milliseconds gang_timeout{3'000};           // How long a task waits for the other tasks of its gang.
+    std::uint32_t max_attempts = 3;             // Failed runs after which a task must not be started again.
+    milliseconds max_start_after_cancel{3'000}; // A cancelled job must not be started later than this.
     std::size_t max_listed_ends = 500; // Ends in one answer to a poll; the others follow once these are acknowledged.
 };
 
@@ -35,6 +36,9 @@
     // Adds the job; each of its tasks runs for the estimate of its step.
     void define_job(const std::string& job, const records::Submission& submission);
 
+    // The cancellation of the job is in the store.
+    void note_cancellation(const std::string& job, boot_time now) { this->cancelled_at.try_emplace(job, now); }
+
     // Every run of this task, or every run on this executor until make_executor_succeed(), fails at its end.
     void make_task_fail(const std::string& task) { this->failing_tasks.insert(task); }
     void make_executor_fail(const std::string& id) { this->failing_executors.insert(id); }
@@ -116,6 +120,7 @@
                                                          boot_time now) const;
     void check_step_order(const std::string& task, const records::Step& step);
     void check_attempts(const std::string& task);
+    void check_cancellation(const std::string& task, boot_time now);
     void check_recorded_end(const executor_state& executor, const ended_task& ended);
     [[nodiscard]] bool is_step_done(const std::string& job, std::uint32_t occurrence, std::uint32_t row) const;
     [[nodiscard]] std::uint32_t count_failures(const std::string& task,
@@ -132,6 +137,7 @@
     std::map<std::string, std::uint32_t> failed_by_task;
     std::map<std::string, std::uint32_t> done_by_task; // By task: ends `done` of any run.
     std::map<std::string, boot_time> last_started_at;  // By task.
+    std::map<std::string, boot_time> cancelled_at;     // By job.
     std::vector<std::string> violation_messages;
     std::set<std::string> jobs_started;
     std::uint64_t start_count = 0;
--- a/tests/stand_ins/node_platform.cpp
+++ b/tests/stand_ins/node_platform.cpp
@@ -334,12 +334,18 @@
         return this->store.append(topic, records, condition);
     }
 
-    // Passes submissions on to the fleet model, which needs the steps' estimates to know how long tasks run.
+    // Passes submissions on to the fleet model, which needs the steps' estimates to know how long tasks run, and
+    // cancellations.
     void define_job(const std::string& topic, const keyed_record& record)
     {
+        if (topic != jobs_topic || !record.value)
+            return;
+        if (const auto cancelled = parse_cancel_key(record.key)) {
+            this->fleet.note_cancellation(std::string(*cancelled), boot_clock::now());
+            return;
+        }
         records::Submission submission;
-        if (topic == jobs_topic && record.value && submission.ParseFromString(*record.value) &&
-            submission.steps_size() > 0)
+        if (submission.ParseFromString(*record.value) && submission.steps_size() > 0)
             this->fleet.define_job(record.key, submission);
     }
 
