--- a/review/6/case.py
+++ b/review/6/case.py
@@ -12,6 +12,7 @@
 
 FINISH_S = 14
 WATCH_S = 65
+PLAIN_S = 12  # The rule allows less than 3 s; the script ends after this time.
 OCCURRENCES = 10_000
 TASKS = 9
 SCHEDULE = "5c0e7a21d94b0100"
@@ -58,7 +59,7 @@
     missing_since = None
     longest = 0.0
     next_look = 0.0
-    while deployment.now() < watched_from + WATCH_S:
+    while deployment.now() < watched_from + WATCH_S and longest < PLAIN_S:
         time.sleep(0.5)
         report = executors.report()
         if begun_after is None and report["started_jobs"].get(LATER_JOB, 0) > 0:
