Case 7: 140,000 task records in place of 180,000

The setup took over 60 s beside other load. The cost that the case shows grows with the square of the number, and is still more than twice that of the smallest size seen to fail.

--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,4 +1,4 @@
-"""The leader is killed while a schedule is open of which 180,000 tasks have ended."""
+"""The leader is killed while a schedule is open of which 140,000 tasks have ended."""
 
 import pathlib
 import sys
@@ -14,9 +14,10 @@
 WATCH_S = 60
 
 FINISH_S = 14
-WATCH_S = 50
+WATCH_S = 45
+PLAIN_S = 12  # The rule allows less than 3 s; the script ends after this time.
 OCCURRENCES = 10_000
-TASKS = 18
+TASKS = 14
 SCHEDULE = "5c0e7a21d94b0100"
 JOBS = ["5c0e7a21d94b02%02x" % number for number in range(3)]
 HEADROOM = {"cpu": 128000, "mem-mb": 262144, "gpu": 8}
@@ -60,7 +61,7 @@
     missing_since = None
     longest = 0.0
     next_look = 0.0
-    while deployment.now() < watched_from + WATCH_S:
+    while deployment.now() < watched_from + WATCH_S and longest < PLAIN_S:
         time.sleep(0.2)
         report = executors.report()
         if all(report["running_jobs"].get(job, 0) for job in JOBS) or deployment.now() < watched_from + FINISH_S:
