--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,5 +1,6 @@
-"""A task that serves users loses its executor while tasks that fill run on all others."""
+"""A job whose schedule lies in the past stops all nodes."""
 
+import os
 import pathlib
 import sys
 import time
@@ -10,46 +11,67 @@
 
 from deployment import run_case  # noqa: E402
 
-WATCH_S = 45
-JUDGED_FROM_S = 15  # LOST: 6. A restart that is only late is not the subject of this case.
-SERVING = "5c0e7a21d94b0001"
-FILLING = "5c0e7a21d94b0002"
+FINISH_S = 14
+WATCH_S = 60
+SHORT_JOBS = ["5c0e7a21d94b01%02x" % number for number in range(15)]
+LONG_JOBS = ["5c0e7a21d94b02%02x" % number for number in range(4)]
+SCHEDULED = "5c0e7a21d94b0300"
+WORK_MS = 100_000
+
+
+def read_memory_mb(node):
+    try:
+        status = pathlib.Path("/proc/%d/status" % node["process"].pid).read_text()
+    except OSError:
+        return 0
+    return sum(int(line.split()[1]) for line in status.splitlines() if line.startswith("VmRSS")) // 1024
 
 
 def case(deployment):
-    serving = {"spec": "lasts", "long-running": True,
-               "steps": [{"count": 1, "cpu": 4000, "mem-mb": 4096, "image": "menu", "target-ms": 200,
-                          "long-running": True}]}
-    filling = {"spec": "lasts", "long-running": True,
-               "steps": [{"count": 6, "cpu": 2000, "mem-mb": 2048, "image": "index", "fills": True, "anti-affinity": 1,
-                          "long-running": True}]}
-    deployment.submit("/menu/", SERVING, "key-alpha", serving)
-    deployment.wait_for_tasks(SERVING, 1)
-    deployment.submit("/index/", FILLING, "key-beta", filling)
-    deployment.wait_for_tasks(FILLING, 6)
-    deployment.log_load()
-    crashed_at = deployment.now()
-    if deployment.has_trouble:
-        deployment.running()[SERVING + ".0.0.0"].crash_for_good()
-    # LOST: from 6 s after its last run on, a task that lasts may be missing for less than 3 s.
+    for job in LONG_JOBS:
+        deployment.submit("/board/", job, "key-alpha",
+                          {"spec": "work %d" % WORK_MS,
+                           "steps": [{"count": 1, "cpu": 16000, "mem-mb": 8192, "gpu": 1, "estimate-ms": WORK_MS}]})
+    for number, job in enumerate(SHORT_JOBS):
+        deployment.submit("/board/", job, "key-alpha",
+                          {"spec": "work 1500", "steps": [{"count": 1, "cpu": 4000, "mem-mb": 4096, "gpu": 1,
+                                                           "estimate-ms": 1500}]}, number % 3)
+    deployment.wait_for(lambda: all(deployment.count_starts(job) for job in LONG_JOBS), 10, "the long tasks run")
+    # An occurrence each 10 s from now on, or, with the disruption, from the same time in seconds instead of
+    # milliseconds: in 1970.
+    now = time.time()
+    start_at_ms = int(now) if deployment.has_trouble else int(now * 1000)
+    submitted_at = deployment.submit(
+        "/batch/", SCHEDULED, "key-beta",
+        {"spec": "work 2000", "times": 10_000, "start-at-ms": start_at_ms, "interval-ms": 10_000,
+         "steps": [{"count": 100, "cpu": 1000, "mem-mb": 1024, "estimate-ms": 2000}]}, 1)
     missing_since = None
     longest = 0.0
-    while deployment.now() < crashed_at + WATCH_S:
+    next_look = 0.0
+    while deployment.now() < submitted_at + WATCH_S:
         time.sleep(0.05)
-        if SERVING + ".0.0.0" in deployment.running() or deployment.now() < crashed_at + JUDGED_FROM_S:
+        if deployment.now() >= next_look:
+            next_look = deployment.now() + 10
+            for node in deployment.nodes:
+                began_at = deployment.now()
+                status, _ = deployment.call(node, "GET", "/board/" + LONG_JOBS[0], None, "key-alpha")
+                deployment.log("%s answers a GET of a job of alpha with %s after %.2f s; %d MB" %
+                               (node["name"], status or "nothing", deployment.now() - began_at, read_memory_mb(node)))
+        running = deployment.running()
+        is_missing = any(job + ".0.0.0" not in running for job in LONG_JOBS)
+        if not is_missing or deployment.now() < submitted_at + FINISH_S:
             missing_since = None
             continue
         missing_since = missing_since or deployment.now()
         longest = max(longest, deployment.now() - missing_since)
     deployment.log_load()
-    deployment.read_state("/menu/", SERVING, "key-alpha")
-    deployment.log("longest time without the serving task, from %d s after its last run on: %.1f s" %
-                   (JUDGED_FROM_S, longest))
+    deployment.log("starts of the scheduled job: %d" % deployment.count_starts(SCHEDULED))
+    deployment.log("longest time with nothing of a job of alpha running, from finish_s on: %.1f s" % longest)
     return longest < 3
 
 
-run_case(case, FOLDER, executors=7, racks=2, headroom={"cpu": 128000, "mem-mb": 262144, "gpu": 8},
-         routes=[{"name": "menu", "path-prefix": "/menu/", "priority": 1},
-                 {"name": "index", "path-prefix": "/index/", "priority": 2}],
-         tenants=[{"name": "alpha", "api-keys": ["key-alpha"], "guaranteed": {"gpu": 8}},
-                  {"name": "beta", "api-keys": ["key-beta"], "guaranteed": {"gpu": 8}}])
+run_case(case, FOLDER, executors=8, racks=2, headroom={"cpu": 128000, "mem-mb": 262144, "gpu": 8},
+         routes=[{"name": "board", "path-prefix": "/board/", "priority": 1},
+                 {"name": "batch", "path-prefix": "/batch/", "priority": 2}],
+         tenants=[{"name": "alpha", "api-keys": ["key-alpha"], "guaranteed": {"gpu": 16}},
+                  {"name": "beta", "api-keys": ["key-beta"], "guaranteed": {"gpu": 16}}])
