The scripts of the second review keep to their time and end their processes

Cases 6 and 7 end their watch after 100 s and say so when it was too short to judge. A run that is ended from outside ends its nodes and executors.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -8,7 +8,7 @@
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "support-2"))
 
-from deployment import FastExecutors, run_case  # noqa: E402
+from deployment import LAST_LOOK_S, CannotRun, FastExecutors, run_case  # noqa: E402
 
 FINISH_S = 14
 WATCH_S = 65
@@ -59,7 +59,8 @@
     missing_since = None
     longest = 0.0
     next_look = 0.0
-    while deployment.now() < watched_from + WATCH_S and longest < PLAIN_S:
+    watched_until = min(watched_from + WATCH_S, LAST_LOOK_S)
+    while deployment.now() < watched_until and longest < PLAIN_S:
         time.sleep(0.5)
         report = executors.report()
         if begun_after is None and report["started_jobs"].get(LATER_JOB, 0) > 0:
@@ -79,6 +80,8 @@
                     "after %.1f s" % max(begun_after, 0) if begun_after is not None else "never"))
     deployment.log("longest time with nothing of an earlier job of alpha running, from finish_s on: %.1f s" % longest)
     # LOST: from finish_s on, a job may have nothing running for less than 3 s.
+    if is_accepted and begun_after is None and deployment.now() < accepted_at + FINISH_S + 3:
+        raise CannotRun("the time left for the later job was too short")
     is_late = is_accepted and (begun_after is None or begun_after >= FINISH_S + 3)
     return not is_late and longest < 3
 
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -8,7 +8,7 @@
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "support-2"))
 
-from deployment import FastExecutors, run_case  # noqa: E402
+from deployment import LAST_LOOK_S, CannotRun, FastExecutors, run_case  # noqa: E402
 
 FINISH_S = 14
 WATCH_S = 60
@@ -61,7 +61,10 @@
     missing_since = None
     longest = 0.0
     next_look = 0.0
-    while deployment.now() < watched_from + WATCH_S and longest < PLAIN_S:
+    if watched_from + FINISH_S + 5 > LAST_LOOK_S:
+        raise CannotRun("the schedule took too long")
+    watched_until = min(watched_from + WATCH_S, LAST_LOOK_S)
+    while deployment.now() < watched_until and longest < PLAIN_S:
         time.sleep(0.2)
         report = executors.report()
         if all(report["running_jobs"].get(job, 0) for job in JOBS) or deployment.now() < watched_from + FINISH_S:
--- a/review/support-2/deployment.py
+++ b/review/support-2/deployment.py
@@ -22,6 +22,7 @@
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 HOST = "queue.example"
 READY_TIMEOUT_S = 20
+LAST_LOOK_S = 100  # Cases end their watch by then, so that a run takes less than 120 s.
 
 
 class CannotRun(Exception):
@@ -251,8 +252,9 @@
 
 def run_case(case, case_folder, **options):
     """Runs `case(deployment)`, which returns whether the rule held. Exits with the code of the outcome."""
-    deployment = None
     code = 2
+    # A run that is ended from outside ends its processes too.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
         deployment = Deployment.__new__(Deployment)
         deployment.nodes, deployment.other_processes, deployment.folder = [], [], ""
