Appends keep to the store's limits: the end of a large job no longer stops all scheduling

Cause: the tombstones of all units of an ended job went into one append, whatever its size. The store refused it, and it was repeated by this and every later leader, while heartbeats, placements and ends waited for it.

Ruled out: a lost or slow answer of the store (each refusal was answered at once).

Why this works: all records of a leader go through progress_writer, which divides a list by the limits in the settings file; the dispatcher bounds what one round removes, and the store client sends nothing beyond the limits. A refusal that no repetition can cure has its own status and is logged with the bytes.

Tests: with the division taken out, records_beyond_one_call_are_stored_in_several fails (outcome not done, 0 of 90,000 records) and is_accepted_with_more_others_than_one_append_can_hold fails (1 of 20 stored); without the bound, the_records_of_a_large_job_are_removed_a_part_at_a_time fails (9,000 records of 200 bytes at once). The store model and the platform's stand-in refuse appends beyond the limits in all tests.

--- a/libraries/dispatch/dispatcher.cpp
+++ b/libraries/dispatch/dispatcher.cpp
@@ -14,8 +14,7 @@
 
 namespace {
 
-// One append gets no further record above this size. The store takes 2 MB per call, and no record comes near the
-// remaining half.
+// The changes of one round get no further record above this size, so that a heartbeat never waits for a long append.
 constexpr std::size_t append_byte_limit = 1'000'000;
 
 // While much of the fleet is idle, a unit waits at most this long for the executors that suit it best. Users allow
@@ -297,7 +296,7 @@
     return true;
 }
 
-// Returns false when changed units are left for the next append.
+// Returns false when changed units of jobs that have not ended are left for the next append.
 bool dispatcher::collect_unit_records(dispatch_changes& changes)
 {
     std::size_t bytes = 0;
@@ -306,11 +305,14 @@
             continue;
         if (std::exchange(job.is_phase_changed, false))
             changes.phases.push_back({id, job.phase});
-        if (is_final(job.phase))
-            this->remove_unit_records(job, changes);
-        else if (!this->collect_units_of(job, changes, bytes))
+        if (!is_final(job.phase) && !this->collect_units_of(job, changes, bytes))
             return false;
     }
+    // Last, and without effect on the ends: a later leader needs neither the records nor their removal.
+    for (auto& [id, job] : this->tracker.jobs()) {
+        if (job.is_end_stored && !this->remove_unit_records(job, changes, bytes))
+            break;
+    }
     return true;
 }
 
@@ -319,9 +321,7 @@
     while (!job.changed_units.empty()) {
         if (bytes > append_byte_limit)
             return false;
-        work_unit& unit = job.units[job.changed_units.back()];
-        job.changed_units.pop_back();
-        unit.is_changed = false;
+        work_unit& unit = job.take_changed_unit();
         unit.is_recorded = true;
         changes.units.push_back({job.make_unit_key(unit), job.make_unit_record(unit)});
         bytes += changes.units.back().key.size() + changes.units.back().content->ByteSizeLong();
@@ -331,18 +331,20 @@
 }
 
 // Once the end of a job is stored, its units need no record, unless their tasks may still run: a later leader stops
-// those. Before that, the units stay as they were recorded.
-void dispatcher::remove_unit_records(job_run& job, dispatch_changes& changes)
+// those. Before that, the units stay as they were recorded. Returns false when records are left for the next append.
+bool dispatcher::remove_unit_records(job_run& job, dispatch_changes& changes, std::size_t& bytes)
 {
-    if (!job.is_end_stored)
-        return;
-    for (const std::uint32_t row : job.take_changes()) {
-        work_unit& unit = job.units[row];
-        if (unit.is_recorded && unit.placed_tasks.empty()) {
-            unit.is_recorded = false;
-            changes.units.push_back({job.make_unit_key(unit), std::nullopt});
-        }
+    while (!job.changed_units.empty()) {
+        if (bytes > append_byte_limit)
+            return false;
+        work_unit& unit = job.take_changed_unit();
+        if (!unit.is_recorded || !unit.placed_tasks.empty())
+            continue;
+        unit.is_recorded = false;
+        changes.units.push_back({job.make_unit_key(unit), std::nullopt});
+        bytes += changes.units.back().key.size();
     }
+    return true;
 }
 
 dispatch_changes dispatcher::collect_changes()
--- a/libraries/dispatch/dispatcher.h
+++ b/libraries/dispatch/dispatcher.h
@@ -36,7 +36,8 @@
 };
 
 // Changes to be written to the store, and the start orders that may be sent once they are stored. The records of units
-// are one append and the phases another; either may be stored without the other.
+// and the phases are appended apart, and those beyond the store's limits of one call in further appends, so that a part
+// of them may be stored without the rest.
 struct dispatch_changes {
     struct job_record {
         std::string job;
@@ -139,7 +140,7 @@
     [[nodiscard]] bool collect_job_records(dispatch_changes& changes);
     [[nodiscard]] bool collect_unit_records(dispatch_changes& changes);
     [[nodiscard]] bool collect_units_of(job_run& job, dispatch_changes& changes, std::size_t& bytes);
-    void remove_unit_records(job_run& job, dispatch_changes& changes);
+    [[nodiscard]] bool remove_unit_records(job_run& job, dispatch_changes& changes, std::size_t& bytes);
     void handle_end_stored(std::string_view id);
     void stop_stalled_units(boot_time now);
     void stop_if_stalled(job_run& job, work_unit& unit, boot_time now);
--- a/libraries/dispatch/job_run.cpp
+++ b/libraries/dispatch/job_run.cpp
@@ -166,6 +166,14 @@
         this->changed_units.push_back(this->row_of(unit));
 }
 
+work_unit& job_run::take_changed_unit()
+{
+    work_unit& unit = this->units[this->changed_units.back()];
+    this->changed_units.pop_back();
+    unit.is_changed = false;
+    return unit;
+}
+
 std::vector<std::uint32_t> job_run::take_changes()
 {
     this->is_phase_changed = false;
--- a/libraries/dispatch/job_run.h
+++ b/libraries/dispatch/job_run.h
@@ -125,6 +125,9 @@
     void mark_changed(work_unit& unit);
     [[nodiscard]] bool is_changed() const { return this->is_phase_changed || !this->changed_units.empty(); }
 
+    // Returns a changed unit and counts it as recorded. There must be one.
+    work_unit& take_changed_unit();
+
     // Returns the rows of the changed units and counts them, and the phase, as recorded.
     std::vector<std::uint32_t> take_changes();
 
--- a/libraries/node/caller_service.cpp
+++ b/libraries/node/caller_service.cpp
@@ -8,6 +8,7 @@
 #include "base/logging.h"
 #include "base/metrics.h"
 #include "jobs/job_keys.h"
+#include "store/append_limits.h"
 
 namespace wigeon {
 
@@ -84,6 +85,11 @@
 void caller_service::write(keyed_record record, boot_time now, milliseconds caller_timeout,
                            std::function<void(write_outcome)> done)
 {
+    if (measure_record(record) > this->store.limits().record_bytes) {
+        count_refusal("record_too_large");
+        done(write_outcome::too_large);
+        return;
+    }
     if (this->queued_writes.size() + this->in_flight_writes.size() >= max_pending_writes) {
         count_refusal("write_queue_full");
         done(write_outcome::refused);
@@ -135,13 +141,16 @@
     if (this->queued_writes.empty() || !this->in_flight_writes.empty())
         return;
     this->timer.cancel();
-    this->in_flight_writes = std::move(this->queued_writes);
-    this->queued_writes.clear();
     std::vector<keyed_record> records;
-    records.reserve(this->in_flight_writes.size());
-    for (const pending_write& write : this->in_flight_writes)
+    records.reserve(this->queued_writes.size());
+    for (const pending_write& write : this->queued_writes)
         records.push_back(write.record);
-    this->store.append(jobs_topic, records, {}, [self = this->shared_from_this()](const append_result& result) {
+    const auto batch = take_append(records, this->store.limits());
+    const auto batch_end = this->queued_writes.begin() + static_cast<std::ptrdiff_t>(batch.size());
+    this->in_flight_writes.assign(std::make_move_iterator(this->queued_writes.begin()),
+                                  std::make_move_iterator(batch_end));
+    this->queued_writes.erase(this->queued_writes.begin(), batch_end);
+    this->store.append(jobs_topic, batch, {}, [self = this->shared_from_this()](const append_result& result) {
         self->handle_append_result(result);
     });
 }
--- a/libraries/node/caller_service.h
+++ b/libraries/node/caller_service.h
@@ -24,6 +24,7 @@
     stored,
     refused,   // Certainly not stored, neither now nor later.
     uncertain, // May be stored; the caller retries with the same id.
+    too_large, // Not stored: the store takes no record of this size.
 };
 
 enum class access_verdict : std::uint8_t {
--- a/libraries/node/leader.cpp
+++ b/libraries/node/leader.cpp
@@ -29,6 +29,9 @@
 // Delay before a new leader repeats an incomplete read of the state that it takes over.
 constexpr milliseconds read_retry_delay{60};
 
+// Tombstones of units whose jobs are gone that one append may hold, so that a heartbeat never waits long for it.
+constexpr std::size_t stale_records_per_append = 10'000;
+
 // Interval of the checks whether a heartbeat is due while a new leader prepares.
 constexpr milliseconds heartbeat_check_interval{100};
 
@@ -345,8 +348,7 @@
     const boot_time now = boot_clock::now();
     this->pending_changes = this->job_dispatcher.collect_changes();
     this->is_resignation_in_flight = this->is_resigning;
-    progress_recorder::removals removed{this->sweeper->list_progress_removals(now),
-                                        std::exchange(this->stale_unit_records, {})};
+    progress_recorder::removals removed{this->sweeper->list_progress_removals(now), this->take_stale_unit_records()};
     const bool is_recording = this->recorder->record(*this->pending_changes, std::move(removed), this->is_resigning,
                                                      now, [self = this->shared_from_this()](progress_outcome outcome) {
                                                          if (outcome == progress_outcome::done)
@@ -364,6 +366,16 @@
         this->apply_committed();
 }
 
+std::vector<keyed_record> leader::take_stale_unit_records()
+{
+    const std::size_t count = std::min(this->stale_unit_records.size(), stale_records_per_append);
+    const auto first = this->stale_unit_records.end() - static_cast<std::ptrdiff_t>(count);
+    std::vector<keyed_record> taken(std::make_move_iterator(first),
+                                    std::make_move_iterator(this->stale_unit_records.end()));
+    this->stale_unit_records.erase(first, this->stale_unit_records.end());
+    return taken;
+}
+
 void leader::apply_committed()
 {
     const boot_time now = boot_clock::now();
--- a/libraries/node/leader.h
+++ b/libraries/node/leader.h
@@ -84,6 +84,7 @@
     void decide(boot_time now);
     void schedule_round(milliseconds delay);
     void commit();
+    std::vector<keyed_record> take_stale_unit_records();
     void apply_committed();
     void query_advisor(boot_time now);
     void log_ended_jobs(const dispatch_changes& changes) const;
@@ -112,7 +113,7 @@
     bool is_resigning = false;
     bool is_resignation_in_flight = false;           // The append in flight records the resignation.
     std::optional<dispatch_changes> pending_changes; // What takes effect once the append in flight is stored.
-    std::vector<keyed_record> stale_unit_records;    // Tombstones of units whose jobs are gone, for the next append.
+    std::vector<keyed_record> stale_unit_records;    // Tombstones of units whose jobs are gone, still to be appended.
 };
 
 } // namespace wigeon
--- a/libraries/node/progress_writer.cpp
+++ b/libraries/node/progress_writer.cpp
@@ -9,6 +9,7 @@
 #include "base/logging.h"
 #include "base/metrics.h"
 #include "dispatch/executor_registry.h"
+#include "store/append_limits.h"
 
 namespace wigeon {
 
@@ -42,6 +43,16 @@
 {
     this->records = new_records;
     this->done = std::move(completion_handler);
+    this->send_next();
+}
+
+void progress_writer::send_next()
+{
+    this->in_flight_count = take_append(this->records, this->store.limits()).size();
+    if (this->in_flight_count < this->records.size())
+        log_event("append_divided", {{"topic", this->topic},
+                                     {"records", std::to_string(this->records.size())},
+                                     {"bytes", std::to_string(measure_append(this->records))}});
     this->append_started_at = boot_clock::now();
     this->send();
 }
@@ -62,7 +73,7 @@
 {
     append_condition condition;
     condition.producer = {std::string(producer_name), this->epoch, this->next_sequence};
-    this->store.append(this->topic, this->records, condition,
+    this->store.append(this->topic, this->records.first(this->in_flight_count), condition,
                        [self = this->shared_from_this()](const append_result& result) { self->handle_result(result); });
 }
 
@@ -73,7 +84,7 @@
     switch (result.status) {
     case append_status::done:
         ++this->next_sequence;
-        this->finish(progress_outcome::done);
+        this->handle_done();
         return;
     case append_status::fenced:
     case append_status::condition_failed:
@@ -87,11 +98,18 @@
         const bool is_done = this->records.empty() || result.expected_sequence == this->next_sequence + 1;
         this->next_sequence = result.expected_sequence;
         if (is_done) {
-            this->finish(progress_outcome::done);
+            this->handle_done();
             return;
         }
         break;
     }
+    case append_status::refused: {
+        const auto in_flight = this->records.first(this->in_flight_count);
+        log_event("append_refused", {{"topic", this->topic},
+                                     {"records", std::to_string(in_flight.size())},
+                                     {"bytes", std::to_string(measure_append(in_flight))}});
+        break;
+    }
     case append_status::rejected:
     case append_status::unknown:
         break;
@@ -112,15 +130,22 @@
     });
 }
 
+void progress_writer::handle_done()
+{
+    this->last_confirmed = boot_clock::now();
+    this->confirmed_append_started_at = this->append_started_at;
+    if (this->in_flight_count > 0)
+        process_metrics().observe_ms("wigeon_commit_ms",
+                                     static_cast<double>((this->last_confirmed - this->append_started_at).count()));
+    this->records = this->records.subspan(this->in_flight_count);
+    if (this->records.empty())
+        this->finish(progress_outcome::done);
+    else
+        this->send_next();
+}
+
 void progress_writer::finish(progress_outcome outcome)
 {
-    if (outcome == progress_outcome::done) {
-        this->last_confirmed = boot_clock::now();
-        this->confirmed_append_started_at = this->append_started_at;
-        if (!this->records.empty())
-            process_metrics().observe_ms("wigeon_commit_ms",
-                                         static_cast<double>((this->last_confirmed - this->append_started_at).count()));
-    }
     this->records = {};
     const auto handler = std::exchange(this->done, nullptr);
     handler(outcome);
--- a/libraries/node/progress_writer.h
+++ b/libraries/node/progress_writer.h
@@ -1,5 +1,5 @@
-// Sends a leader's appends to one topic, one at a time. Each is retried until its outcome is certain. The
-// epoch of the term fences off former leaders.
+// Sends a leader's appends to one topic, one at a time, divided to keep within the store's limits. Each is retried
+// until its outcome is certain. The epoch of the term fences off former leaders.
 
 #pragma once
 
@@ -32,7 +32,9 @@
     // the first append.
     void fence_former_leader(std::function<void(progress_outcome)> done);
 
-    // Must not be called before the last append is done. The records must stay valid until `done` is called.
+    // Appends the records in order; those beyond the store's limits of one call in further calls, so that any prefix
+    // may be stored without the rest. Must not be called before the last append is done. The records must stay valid
+    // until `done` is called.
     void append(std::span<const keyed_record> records, std::function<void(progress_outcome)> done);
 
     // No handler is called afterwards.
@@ -46,7 +48,9 @@
     [[nodiscard]] boot_time confirmed_as_of() const { return this->confirmed_append_started_at; }
 
 private:
+    void send_next();
     void send();
+    void handle_done();
     void handle_result(const append_result& result);
     void schedule_retry();
     void finish(progress_outcome outcome);
@@ -55,10 +59,11 @@
     const std::string topic;
     const std::uint64_t epoch;
     std::uint64_t next_sequence = 0;
-    std::span<const keyed_record> records; // Of the append in flight; none while former leaders are being fenced off.
+    std::span<const keyed_record> records;      // Not stored so far; none while former leaders are being fenced off.
+    std::size_t in_flight_count = 0;            // Records at the front of `records` that the call in flight holds.
     std::function<void(progress_outcome)> done; // Empty while no append is in flight.
     boost::asio::steady_timer retry_timer;
-    boot_time append_started_at; // First attempt of the append in flight.
+    boot_time append_started_at; // First attempt of the call in flight.
     boot_time last_confirmed;
     boot_time confirmed_append_started_at;
     bool is_stopped = false;
--- a/libraries/store/record_store.h
+++ b/libraries/store/record_store.h
@@ -26,6 +26,14 @@
     keyed_record content;
 };
 
+// What the store accepts in one append. It refuses larger ones, however often they are repeated.
+struct append_limits {
+    std::size_t record_bytes = 262'144; // Key and value of one record.
+    std::size_t call_bytes = 2'097'152; // All records of one append.
+
+    friend bool operator==(const append_limits&, const append_limits&) = default;
+};
+
 // Makes appends idempotent, and fences off producers with a lower epoch.
 struct producer_position {
     std::string name;
@@ -40,7 +48,8 @@
 
 enum class append_status : std::uint8_t {
     done,
-    rejected,         // Certainly not done, neither now nor later.
+    rejected,         // Certainly not done; a repetition may succeed.
+    refused,          // Certainly not done; a repetition would be refused as well.
     condition_failed, // The topic's end is not `expected_end`; not done.
     out_of_sequence,  // Not done; `expected_sequence` is set.
     fenced,           // A producer with a higher epoch has taken over; not done.
@@ -86,7 +95,9 @@
 public:
     virtual ~record_store() = default;
 
-    // Appends all records or none to a topic with keys.
+    [[nodiscard]] virtual append_limits limits() const = 0;
+
+    // Appends all records or none to a topic with keys. Refuses records beyond the limits; see take_append().
     virtual void append(std::string_view topic, std::span<const keyed_record> records,
                         const append_condition& condition, std::function<void(append_result)> done) = 0;
 
--- a/services/node/main.cpp
+++ b/services/node/main.cpp
@@ -178,7 +178,7 @@
     const std::string path = find_settings_path();
     const platform::node_settings settings = platform::read_node_settings(path);
     boost::asio::io_context loop(1);
-    platform::store_client store(loop, settings.store_address);
+    platform::store_client store(loop, settings.store_address, settings.store_limits);
     platform::executor_client executors(loop);
     platform::advice_client advisor(loop, settings.advisor_address);
     const platform::json_document_decoder documents;
--- a/tests/dispatch/dispatcher_test.cpp
+++ b/tests/dispatch/dispatcher_test.cpp
@@ -318,6 +318,35 @@
     BOOST_TEST(ended.ends.size() == 1U);
 }
 
+// Guards against a long append at the end of a large job (review case 6), for which heartbeats and the records of other
+// jobs would wait.
+BOOST_FIXTURE_TEST_CASE(the_records_of_a_large_job_are_removed_a_part_at_a_time, fleet_fixture)
+{
+    constexpr std::uint32_t unit_count = 9'000;
+    const std::string id(200, 'j'); // Long keys, so that fewer units make up many bytes.
+    records::Submission submission;
+    submission.set_queue("q2");
+    submission.add_steps()->set_count(unit_count);
+    records::JobProgress progress;
+    progress.set_phase(records::JOB_PHASE_COMPLETED);
+    for (std::uint32_t row = 0; row < unit_count; ++row) {
+        records::UnitProgress& unit = *progress.add_units();
+        unit.set_first_task(row);
+        unit.set_done(true);
+    }
+    this->dispatch.add_job(id, submission, progress, 0, this->now);
+    std::size_t removed = 0;
+    while (const job_run* job = this->dispatch.job_runs().find(id)) {
+        BOOST_TEST((job->phase == records::JOB_PHASE_COMPLETED));
+        const dispatch_changes changes = this->dispatch.collect_changes();
+        BOOST_REQUIRE(!changes.units.empty());
+        BOOST_TEST(changes.units.size() * id.size() < 1'200'000U);
+        removed += changes.units.size();
+        this->dispatch.confirm_changes(changes, this->now);
+    }
+    BOOST_TEST(removed == unit_count);
+}
+
 // The two topics are appended apart: without its records, a job whose end was not stored would run again.
 BOOST_FIXTURE_TEST_CASE(the_record_of_a_unit_that_completes_its_job_goes_after_the_end_is_stored, fleet_fixture)
 {
--- a/tests/models/scripted_store.h
+++ b/tests/models/scripted_store.h
@@ -31,6 +31,7 @@
     std::size_t append_calls = 0;
     std::size_t page_size = 2; // Small, so that tests read several pages.
 
+    [[nodiscard]] append_limits limits() const override { return this->model.limits; }
     void append(std::string_view topic, std::span<const keyed_record> records, const append_condition& condition,
                 std::function<void(append_result)> done) override;
     void append_unkeyed(std::string_view topic, std::string_view record, const append_condition& condition,
--- a/tests/models/shared_bandwidth_store.h
+++ b/tests/models/shared_bandwidth_store.h
@@ -21,6 +21,7 @@
 
     void set_bandwidth(double bytes_per_ms);
 
+    [[nodiscard]] append_limits limits() const override { return this->model.limits; }
     void append(std::string_view topic, std::span<const keyed_record> records, const append_condition& condition,
                 std::function<void(append_result)> done) override;
     void append_unkeyed(std::string_view topic, std::string_view record, const append_condition& condition,
--- a/tests/models/store_model.cpp
+++ b/tests/models/store_model.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 
+#include "store/append_limits.h"
+
 namespace wigeon {
 
 namespace {
@@ -18,6 +20,10 @@
     topic_state& state = this->topics[topic];
     append_result result;
     result.end = state.end();
+    if (!is_within(records, this->limits)) {
+        result.status = append_status::refused;
+        return result;
+    }
     producer_state* producer = nullptr;
     if (condition.producer) {
         producer = &state.producers[condition.producer->name];
--- a/tests/models/store_model.h
+++ b/tests/models/store_model.h
@@ -16,6 +16,7 @@
 
 class store_model {
 public:
+    // Refuses records beyond `limits`, as the store does.
     append_result append(const std::string& topic, std::span<const keyed_record> records,
                          const append_condition& condition);
 
@@ -26,6 +27,8 @@
     // Drops all records of the topic from its history; read_newest() still returns the newest record of each key.
     void trim_history(const std::string& topic);
 
+    append_limits limits;
+
 private:
     struct producer_state {
         std::uint64_t epoch = 0;
--- a/tests/node/caller_service_test.cpp
+++ b/tests/node/caller_service_test.cpp
@@ -109,6 +109,33 @@
     BOOST_TEST(this->store.append_calls > 1U);
 }
 
+// Guards against a refusal that invites a retry which can't succeed either.
+BOOST_FIXTURE_TEST_CASE(that_the_store_can_not_hold_is_refused_for_good_without_an_append, caller_fixture)
+{
+    const std::size_t appends = this->store.append_calls;
+    this->store.model.limits.record_bytes = 8;
+    BOOST_TEST((this->submit("job-with-a-long-id") == write_outcome::too_large));
+    BOOST_TEST(this->store.append_calls == appends);
+}
+
+// Guards against a batch beyond the store's limit of one call: it is refused as a whole, with every write in it.
+BOOST_FIXTURE_TEST_CASE(is_accepted_with_more_others_than_one_append_can_hold, caller_fixture)
+{
+    this->store.model.limits.call_bytes = 64;
+    std::size_t answered = 0;
+    std::size_t stored = 0;
+    records::Submission submission;
+    submission.set_queue("queue");
+    for (int row = 0; row < 20; ++row)
+        this->service->submit("job" + std::to_string(row), submission, boot_clock::now(), milliseconds(0),
+                              [&](write_outcome result) {
+                                  ++answered;
+                                  stored += result == write_outcome::stored ? 1 : 0;
+                              });
+    this->run_until([&] { return answered == 20U; });
+    BOOST_TEST(stored == 20U);
+}
+
 BOOST_FIXTURE_TEST_CASE(whose_answer_was_lost_is_uncertain_and_never_refused, caller_fixture)
 {
     this->store.append_fault = store_fault::answer_lost;
--- a/tests/node/progress_recorder_test.cpp
+++ b/tests/node/progress_recorder_test.cpp
@@ -137,6 +137,25 @@
     BOOST_TEST(state->jobs().find("ended")->is_final());
 }
 
+// Guards against an append beyond the store's limit of one call (review case 6): it was refused and repeated for good,
+// and nothing else was recorded. Here the records of 90,000 units are removed, as at the end of a large job.
+BOOST_FIXTURE_TEST_CASE(records_beyond_one_call_are_stored_in_several, recorder_fixture)
+{
+    const auto state = this->make_state();
+    state->adopt_unit_records(this->now);
+    const auto recorder = this->make_recorder(*state, 0);
+    constexpr std::uint32_t unit_count = 90'000;
+    progress_recorder::removals removed;
+    for (std::uint32_t row = 0; row < unit_count; ++row)
+        removed.units.push_back({make_task_name("5c0e7a21d94b0100", {row, 0, 0}), std::nullopt});
+    std::optional<progress_outcome> outcome;
+    BOOST_TEST(
+        recorder->record({}, std::move(removed), false, this->now, [&](progress_outcome result) { outcome = result; }));
+    this->run_until([&] { return outcome.has_value(); });
+    BOOST_TEST((*outcome == progress_outcome::done));
+    BOOST_TEST(this->store.model.read(std::string(units_topic), 0, 1).end == unit_count);
+}
+
 BOOST_AUTO_TEST_SUITE(a_store_that_an_earlier_build_wrote)
 
 BOOST_FIXTURE_TEST_CASE(is_converted_without_loss, recorder_fixture)
--- a/tests/platform/wire_test.cpp
+++ b/tests/platform/wire_test.cpp
@@ -145,6 +145,9 @@
     BOOST_TEST((decode_append({call_outcome::not_sent, 0, ""}).status == append_status::rejected));
     BOOST_TEST((decode_append(answer(503, "")).status == append_status::rejected));
     BOOST_TEST((decode_append(answer(429, "")).status == append_status::rejected));
+    // An append that is wrong by itself is told apart from one that may succeed later.
+    BOOST_TEST((decode_append(answer(400, "")).status == append_status::refused));
+    BOOST_TEST((decode_append(answer(413, "")).status == append_status::refused));
     BOOST_TEST((decode_append(answer(500, "")).status == append_status::unknown));
     BOOST_TEST((decode_append(answer(504, "")).status == append_status::unknown));
     BOOST_TEST((decode_append(answer(200, "not json")).status == append_status::unknown));
--- a/tests/stand_ins/node_platform.cpp
+++ b/tests/stand_ins/node_platform.cpp
@@ -355,6 +355,8 @@
         switch (result.status) {
         case append_status::done:
             return {200, "{\"offset\":" + std::to_string(result.offset) + end, 0};
+        case append_status::refused:
+            return {400, R"({"reason":"size"})", 0};
         case append_status::condition_failed:
             return {412, "{\"reason\":\"at\"" + end, 0};
         case append_status::fenced:
