A leader whose term has ended is destroyed

Cause: unit_loader kept the handler that it calls when the units are loaded. The handler holds the leader, which owns the loader, so the leader was never destroyed, nor its dispatcher with all jobs.

Other handlers were read: recorder, writers and timers give theirs up when they are stopped.

Why this works: the loader gives the handler up when it calls it and when it is stopped, so nothing of a term refers to its leader once the calls in flight have been answered.

--- a/libraries/node/unit_loader.cpp
+++ b/libraries/node/unit_loader.cpp
@@ -27,6 +27,12 @@
     this->read_page();
 }
 
+void unit_loader::stop()
+{
+    this->is_stopped = true;
+    this->done = nullptr;
+}
+
 void unit_loader::read_page()
 {
     if (this->is_stopped)
@@ -60,8 +66,8 @@
     }
     if (page.has_more && !page.records.empty())
         this->read_page();
-    else
-        this->done(std::move(this->progress));
+    else if (const auto handler = std::exchange(this->done, nullptr))
+        handler(std::move(this->progress));
 }
 
 } // namespace wigeon
--- a/libraries/node/unit_loader.h
+++ b/libraries/node/unit_loader.h
@@ -21,8 +21,8 @@
     // Reads page after page, each until it succeeds, then calls `done` once.
     void start(std::function<void(unit_progress_map)> done);
 
-    // `done` is not called afterwards.
-    void stop() { this->is_stopped = true; }
+    // `done` is neither called nor kept afterwards; it may own this loader's owner.
+    void stop();
 
 private:
     void read_page();
--- /dev/null
+++ b/tests/node/leader_test.cpp
@@ -0,0 +1,151 @@
+// One term of leadership on a scripted store, with executors that only answer polls.
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include "jobs/job_keys.h"
+#include "models/scripted_store.h"
+#include "node/leader.h"
+
+namespace wigeon {
+
+namespace {
+
+constexpr dispatch_limits limits{milliseconds(6'000), milliseconds(200), milliseconds(5'000)};
+
+class fixed_documents : public document_decoder {
+public:
+    std::optional<fleet_policy> decode_policy(std::string_view, std::string&) const override
+    {
+        fleet_policy policy;
+        policy.version = 1;
+        queue_policy queue;
+        queue.name = "q";
+        queue.pool = "pool";
+        queue.stretch = 1.5;
+        policy.queues.push_back(queue);
+        return policy;
+    }
+
+    std::optional<executor_entry> decode_executor(std::string_view id, std::string_view, std::string&) const override
+    {
+        executor_entry entry;
+        entry.id = id;
+        entry.pool = "pool";
+        entry.address = "127.0.0.1:1";
+        entry.capacity = {64'000, 128'000, 8};
+        entry.incarnation_ms = 1;
+        return entry;
+    }
+};
+
+// Executors that run nothing.
+class idle_executors : public executor_service {
+public:
+    explicit idle_executors(boost::asio::io_context& event_loop) : loop(event_loop) {}
+
+    void poll(const executor_target&, const poll_request& request, std::function<void(poll_result)> done) override
+    {
+        this->polls.push_back(request);
+        const auto timer = std::make_shared<boost::asio::steady_timer>(this->loop, milliseconds(10));
+        timer->async_wait([timer, done = std::move(done)](const boost::system::error_code&) {
+            poll_result result;
+            result.outcome = request_outcome::accepted;
+            result.report.incarnation_ms = 1;
+            result.report.clock = milliseconds(boot_clock::now().time_since_epoch());
+            done(result);
+        });
+    }
+
+    void start(const executor_target&, const start_order&, milliseconds, std::uint64_t,
+               std::function<void(order_result)>) override
+    {
+    }
+
+    void stop(const executor_target&, const stop_order&, std::uint64_t, std::function<void(order_result)>) override {}
+    void close_connections(const std::string&) override {}
+
+    std::vector<poll_request> polls;
+
+private:
+    boost::asio::io_context& loop;
+};
+
+class no_advisor : public advice_service {
+public:
+    [[nodiscard]] bool is_configured() const override { return false; }
+    void query(const advice_request&, std::function<void(std::optional<advice_response>)>) override {}
+};
+
+struct leader_fixture {
+    boost::asio::io_context loop;
+    scripted_store store{this->loop};
+    fixed_documents decoder;
+    idle_executors executors{this->loop};
+    no_advisor advisor;
+    const external_services external{
+        this->store, this->executors, this->advisor, this->decoder, {"keyed.policy", "policy", "keyed.executors"}};
+    node_state state{this->loop, this->store, this->external.topics, this->decoder};
+    std::shared_ptr<leader> current;
+    std::optional<leadership_end> end;
+
+    leader_fixture()
+    {
+        this->add_record("keyed.policy", "policy", "{}");
+        this->add_record("keyed.executors", "e1", "{}");
+        this->state.start();
+        this->run_until([&] { return this->state.is_loaded(); });
+    }
+
+    void add_record(std::string_view topic, const std::string& key, const std::string& value)
+    {
+        const std::vector<keyed_record> records{{key, value}};
+        this->store.model.append(std::string(topic), records, {});
+    }
+
+    // Fails instead of waiting for ever when the condition does not come to hold.
+    void run_until(const std::function<bool()>& is_done)
+    {
+        const boot_time give_up_at = boot_clock::now() + milliseconds(20'000);
+        this->loop.restart();
+        while (!is_done() && boot_clock::now() < give_up_at && this->loop.run_one() > 0)
+            continue;
+        BOOST_REQUIRE(is_done());
+    }
+
+    void start_leader(std::uint64_t term)
+    {
+        leader_options options{{"node", 1}, limits, milliseconds(60'000), true};
+        this->current = std::make_shared<leader>(this->loop, this->external, this->state, options, term);
+        this->end.reset();
+        this->current->start([this](leadership_end reason) { this->end = reason; });
+    }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(leader_story)
+
+// Guards against a handler that holds the leader which owns it: a node then kept the memory of each term that it had
+// led, 20 to 40 MB a term with one large job.
+BOOST_FIXTURE_TEST_CASE(a_leader_is_destroyed_once_its_term_has_ended, leader_fixture)
+{
+    for (std::uint64_t term = 0; term < 3; ++term) {
+        this->start_leader(term);
+        this->run_until([&] { return this->current->is_leading(); });
+        this->current->resign();
+        this->run_until([&] { return this->end.has_value(); });
+        BOOST_TEST((*this->end == leadership_end::resigned));
+        const std::weak_ptr<leader> ended = std::exchange(this->current, nullptr);
+        this->run_until([&] { return ended.expired(); });
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace wigeon
