--- a/libraries/dispatch/capacity_table.cpp
+++ b/libraries/dispatch/capacity_table.cpp
@@ -100,9 +100,7 @@
     if (job.step_of(unit).tasks_per_executor() == 0)
         return {};
     std::vector<std::uint32_t> present(this->entries.size(), 0);
-    for (const work_unit& other : job.units) {
-        if (other.step_row != unit.step_row)
-            continue;
+    for (const work_unit& other : job.units_of(job.steps[unit.step_row])) {
         for (const placed_task& task : other.placed_tasks) {
             const auto row = this->find_row(task.executor);
             if (row && task.phase != task_phase::resolved)
--- a/libraries/dispatch/dispatcher.cpp
+++ b/libraries/dispatch/dispatcher.cpp
@@ -14,8 +14,10 @@
 
 namespace {
 
-// The changes of one round get no further record above this size, so that a heartbeat never waits for a long append.
+// The changes of one round get no further record above these sizes, so that a heartbeat never waits for a long append.
+// Removals consist of many small records and can wait.
 constexpr std::size_t append_byte_limit = 1'000'000;
+constexpr std::size_t removal_byte_limit = 400'000;
 
 // While much of the fleet is idle, a unit waits at most this long for the executors that suit it best. Users allow
 // 3 s.
@@ -47,13 +49,23 @@
     }
 }
 
+queue_policy dispatcher::find_policy(const records::Submission& submission) const
+{
+    const queue_policy* queue = this->policy.find_queue_by_name(submission.queue());
+    return queue != nullptr ? *queue : restore_accepted_policy(submission);
+}
+
+void dispatcher::add_pool_of(const records::Submission& submission)
+{
+    this->known_pools.insert(this->find_policy(submission).pool);
+}
+
 void dispatcher::add_job(const std::string& id, const records::Submission& submission,
                          const records::JobProgress& progress, std::uint64_t wall_ms, boot_time now)
 {
     if (this->tracker.find(id) != nullptr)
         return;
-    const queue_policy* queue = this->policy.find_queue_by_name(submission.queue());
-    const queue_policy job_policy = queue != nullptr ? *queue : restore_accepted_policy(submission);
+    const queue_policy job_policy = this->find_policy(submission);
     // After a change of leader, only the wall clock tells the age of a job. It may have jumped, so the age is limited.
     constexpr std::int64_t max_age_ms = 120'000;
     const std::int64_t age_ms =
@@ -107,8 +119,9 @@
 {
     if (answer == start_answer::ticket_refused) {
         const job_run* job = this->tracker.find(order.reference.job);
-        if (job != nullptr && order.reference.unit_row < job->units.size())
-            this->advice.drop_ticket(make_step_name(*job, job->units[order.reference.unit_row]), order.executor);
+        const work_unit* unit = job == nullptr ? nullptr : job->units.find(order.reference.unit_row);
+        if (unit != nullptr)
+            this->advice.drop_ticket(make_step_name(*job, *unit), order.executor);
     }
     this->tracker.handle_start_answer(order.reference, answer, now);
 }
@@ -263,8 +276,12 @@
 void dispatcher::decide(std::uint64_t wall_ms, boot_time now)
 {
     this->tracker.resolve_expired(now);
-    for (auto& [id, job] : this->tracker.jobs())
-        this->tracker.add_due_occurrences(job, wall_ms, now);
+    for (auto& [id, job] : this->tracker.jobs()) {
+        // The record of a whole job names all units that are done.
+        if (this->format == progress_format::per_unit && !is_final(job.phase))
+            job.drop_finished_occurrences();
+        this->tracker.open_due_work(job, wall_ms, now);
+    }
     if (!this->stalls_checked_at || now - *this->stalls_checked_at >= stall_check_interval) {
         this->stalls_checked_at = now;
         this->stop_stalled_units(now);
@@ -335,7 +352,7 @@
 bool dispatcher::remove_unit_records(job_run& job, dispatch_changes& changes, std::size_t& bytes)
 {
     while (!job.changed_units.empty()) {
-        if (bytes > append_byte_limit)
+        if (bytes > removal_byte_limit)
             return false;
         work_unit& unit = job.take_changed_unit();
         if (!unit.is_recorded || !unit.placed_tasks.empty())
@@ -344,6 +361,14 @@
         changes.units.push_back({job.make_unit_key(unit), std::nullopt});
         bytes += changes.units.back().key.size();
     }
+    while (!job.finished_occurrences.empty()) {
+        if (bytes > removal_byte_limit)
+            return false;
+        for (std::string& key : job.take_finished_keys()) {
+            bytes += key.size();
+            changes.units.push_back({std::move(key), std::nullopt});
+        }
+    }
     return true;
 }
 
--- a/libraries/dispatch/dispatcher.h
+++ b/libraries/dispatch/dispatcher.h
@@ -81,6 +81,9 @@
     // Must not be called after the first change was collected. The default is progress_format::per_unit.
     void set_progress_format(progress_format new_format) { this->format = new_format; }
 
+    // Counts the pool that runs the job as known. add_job() does so too.
+    void add_pool_of(const records::Submission& submission);
+
     // Does nothing if the job is known already. `wall_ms` is the wall clock in milliseconds, here and in decide(); the
     // job's age is derived from it.
     void add_job(const std::string& id, const records::Submission& submission, const records::JobProgress& progress,
@@ -130,6 +133,7 @@
     std::vector<dispatch_event> take_events() { return this->events.take(); }
 
 private:
+    [[nodiscard]] queue_policy find_policy(const records::Submission& submission) const;
     static placement_need make_need(const job_run& job, const work_unit& unit, boot_time now);
     [[nodiscard]] bool is_known_not_to_fit(const placement_need& need) const;
     [[nodiscard]] std::optional<std::vector<std::size_t>> find_relaxed_places(placement_need need,
--- a/libraries/dispatch/job_run.cpp
+++ b/libraries/dispatch/job_run.cpp
@@ -6,81 +6,183 @@
 #include <map>
 #include <utility>
 
+#include "jobs/unit_records.h"
+
 namespace wigeon {
 
-void job_run::add_occurrence(std::uint32_t occurrence, boot_time now)
+job_run::job_run(std::string job_id, const records::Submission& accepted, const queue_policy& queue, boot_time now)
+    : id(std::move(job_id)), submission(accepted), policy(queue), arrived_at(now)
 {
-    for (int row = 0; row < this->submission.steps_size(); ++row) {
-        const records::Step& step = this->submission.steps(row);
-        step_run added;
-        added.occurrence = occurrence;
-        added.step = static_cast<std::uint32_t>(row);
-        const std::uint32_t tasks = std::max(1U, step.count());
-        added.units_left = step.gang() ? 1 : tasks;
-        const auto step_row = static_cast<std::uint32_t>(this->steps.size());
-        for (std::uint32_t index = 0; index < added.units_left; ++index) {
-            work_unit unit;
-            unit.step_row = step_row;
-            unit.first_task = index;
-            unit.task_count = step.gang() ? tasks : 1;
-            unit.waiting_since = now;
-            this->units.push_back(std::move(unit));
-        }
-        this->steps.push_back(std::move(added));
+    for (const records::Step& step : this->submission.steps()) {
+        this->step_offsets.push_back(this->units_per_occurrence);
+        this->units_per_occurrence += count_units(step);
     }
-    this->occurrences_added = occurrence + 1;
 }
 
-void job_run::add_begun_occurrences(const records::JobProgress& progress, boot_time now)
+void job_run::add_occurrence(std::uint32_t occurrence)
+{
+    const auto step_count = static_cast<std::uint32_t>(this->submission.steps_size());
+    this->occurrences_added = std::max(this->occurrences_added, occurrence + 1);
+    if (step_count == 0)
+        return;
+    const std::uint32_t first_row = occurrence * step_count;
+    std::vector<step_run> added(step_count);
+    for (std::uint32_t step = 0; step < step_count; ++step) {
+        added[step].row = first_row + step;
+        added[step].occurrence = occurrence;
+        added[step].step = step;
+        added[step].first_unit = occurrence * this->units_per_occurrence + this->step_offsets[step];
+        added[step].unit_count = count_units(this->submission.steps(static_cast<int>(step)));
+        added[step].units_left = added[step].unit_count;
+    }
+    this->unfinished_steps += step_count;
+    this->steps.add(first_row, std::move(added));
+}
+
+void job_run::add_begun_occurrences(const records::JobProgress& progress)
 {
     std::uint32_t count = this->submission.occurrences() == 0 ? 1 : 0;
+    for (const records::OccurrenceRange& range : progress.finished()) {
+        const std::uint32_t end = range.first() + range.count();
+        this->finished_occurrences.add(boost::icl::interval<std::uint32_t>::right_open(range.first(), end));
+        count = std::max(count, end);
+    }
     for (const records::UnitProgress& saved : progress.units())
         count = std::max(count, saved.occurrence() + 1);
-    for (std::uint32_t occurrence = 0; occurrence < count; ++occurrence)
-        this->add_occurrence(occurrence, now);
+    for (std::uint32_t occurrence = 0; occurrence < count; ++occurrence) {
+        if (!boost::icl::contains(this->finished_occurrences, occurrence))
+            this->add_occurrence(occurrence);
+    }
+    this->occurrences_added = std::max(this->occurrences_added, count);
+}
+
+void job_run::open_step(step_run& step)
+{
+    if (std::exchange(step.is_open, true))
+        return;
+    const records::Step& shape = this->submission.steps(static_cast<int>(step.step));
+    std::vector<work_unit> added(step.unit_count);
+    for (std::uint32_t index = 0; index < step.unit_count; ++index) {
+        added[index].row = step.first_unit + index;
+        added[index].step_row = step.row;
+        added[index].first_task = index;
+        added[index].task_count = shape.gang() ? std::max(1U, shape.count()) : 1;
+    }
+    this->unfinished_units += step.unit_count;
+    this->units.add(step.first_unit, std::move(added));
+}
+
+void job_run::enqueue_units(step_run& step, boot_time now)
+{
+    for (work_unit& unit : this->units.block(step.first_unit)) {
+        if (!unit.is_done && unit.placed_tasks.empty())
+            this->add_waiting(unit, now);
+    }
+}
+
+void job_run::open_ready_steps(boot_time now)
+{
+    std::size_t opened = 0;
+    while (opened < this->ready_steps.size()) {
+        step_run& step = this->steps[this->ready_steps[opened++]];
+        this->open_step(step);
+        this->enqueue_units(step, now);
+    }
+    this->ready_steps.erase(this->ready_steps.begin(), this->ready_steps.begin() + static_cast<std::ptrdiff_t>(opened));
 }
 
-void job_run::add_due_occurrences(std::uint64_t wall_ms, boot_time now)
+void job_run::open_due_work(std::uint64_t wall_ms, boot_time now)
 {
+    this->open_ready_steps(now);
     while (this->occurrences_added < this->occurrence_count()) {
         const std::int64_t due = this->submission.first_due_ms() +
                                  static_cast<std::int64_t>(this->occurrences_added) * this->submission.interval_ms();
         if (static_cast<std::int64_t>(wall_ms) < due)
             return;
         const std::uint32_t occurrence = this->occurrences_added;
-        this->add_occurrence(occurrence, now);
+        this->add_occurrence(occurrence);
         this->mark_ready_steps(occurrence, now);
     }
 }
 
 void job_run::mark_ready_steps(std::uint32_t occurrence, boot_time now)
 {
-    const auto is_step_done = [this, occurrence](std::uint32_t step) {
-        return std::any_of(this->steps.begin(), this->steps.end(), [&](const step_run& other) {
-            return other.occurrence == occurrence && other.step == step && other.units_left == 0;
-        });
-    };
-    for (std::uint32_t row = 0; row < this->steps.size(); ++row) {
-        step_run& step = this->steps[row];
-        if (step.is_ready || step.occurrence != occurrence)
+    const std::span<step_run> all = this->steps_of(occurrence);
+    const auto is_step_done = [all](std::uint32_t step) { return step < all.size() && all[step].units_left == 0; };
+    for (step_run& step : all) {
+        if (step.is_ready)
             continue;
         const auto& needed = this->submission.steps(static_cast<int>(step.step)).after();
         if (!std::all_of(needed.begin(), needed.end(), is_step_done))
             continue;
         step.is_ready = true;
-        for (std::uint32_t unit_row = 0; unit_row < this->units.size(); ++unit_row) {
-            work_unit& unit = this->units[unit_row];
-            if (unit.step_row != row || unit.is_done || !unit.placed_tasks.empty())
-                continue;
-            unit.waiting_since = now;
-            step.waiting.push_back(unit_row);
-        }
+        if (step.is_open)
+            this->enqueue_units(step, now);
+        else
+            this->ready_steps.push_back(step.row);
     }
+    this->open_ready_steps(now);
+}
+
+void job_run::add_waiting(work_unit& unit, boot_time now)
+{
+    unit.waiting_since = now;
+    this->steps[unit.step_row].waiting.push_back(unit.row);
+    ++this->waiting_count;
+}
+
+void job_run::remove_waiting(const work_unit& unit)
+{
+    this->waiting_count -= std::erase(this->steps[unit.step_row].waiting, unit.row);
+}
+
+void job_run::clear_waiting()
+{
+    for (step_run& step : this->steps)
+        step.waiting.clear();
+    this->ready_steps.clear();
+    this->waiting_count = 0;
+}
+
+bool job_run::finish(work_unit& unit)
+{
+    unit.is_done = true;
+    --this->unfinished_units;
+    this->remove_waiting(unit);
+    step_run& step = this->steps[unit.step_row];
+    if (--step.units_left > 0)
+        return false;
+    --this->unfinished_steps;
+    const std::span<const step_run> all = this->steps_of(step.occurrence);
+    if (std::all_of(all.begin(), all.end(), [](const step_run& other) { return other.units_left == 0; }))
+        this->completed.push_back(step.occurrence);
+    return true;
+}
+
+void job_run::drop_finished_occurrences()
+{
+    const auto is_settled = [](const work_unit& unit) { return unit.placed_tasks.empty() && !unit.is_changed; };
+    std::erase_if(this->completed, [&](std::uint32_t occurrence) {
+        const std::span<const step_run> all = this->steps_of(occurrence);
+        const bool can_be_dropped = std::all_of(all.begin(), all.end(), [&](const step_run& step) {
+            return std::ranges::all_of(this->units_of(step), is_settled);
+        });
+        if (!can_be_dropped)
+            return false;
+        for (const step_run& step : all)
+            this->units.remove(step.first_unit);
+        this->steps.remove(all.front().row);
+        this->finished_occurrences.add(occurrence);
+        return true;
+    });
 }
 
 work_unit* job_run::restore_unit(const records::UnitProgress& saved, const records::JobProgress& progress,
                                  boot_time now)
 {
+    const std::span<step_run> all = this->steps_of(saved.occurrence());
+    if (saved.step() < all.size())
+        this->open_step(all[saved.step()]);
     std::uint32_t task_row = 0;
     work_unit* unit = this->find_unit({saved.occurrence(), saved.step(), saved.first_task()}, task_row);
     if (unit == nullptr)
@@ -91,10 +193,8 @@
     unit->counted_run = saved.counted_run();
     unit->checkpoint = saved.checkpoint();
     unit->is_recorded = true;
-    if (saved.done()) {
-        unit->is_done = true;
-        --this->steps[unit->step_row].units_left;
-    }
+    if (saved.done() && !unit->is_done)
+        this->finish(*unit);
     if (saved.placed_on_size() != static_cast<int>(unit->task_count))
         return unit;
     for (const std::uint32_t row : saved.placed_on()) {
@@ -110,18 +210,40 @@
     return unit;
 }
 
+void job_run::finish_restoring(boot_time now)
+{
+    for (std::uint32_t occurrence = 0; occurrence < this->occurrences_added; ++occurrence)
+        this->mark_ready_steps(occurrence, now);
+}
+
 work_unit* job_run::find_unit(const task_position& position, std::uint32_t& task_row)
 {
-    for (work_unit& unit : this->units) {
-        const step_run& step = this->steps[unit.step_row];
-        if (step.occurrence != position.occurrence || step.step != position.step)
-            continue;
-        if (position.index < unit.first_task || position.index >= unit.first_task + unit.task_count)
-            continue;
-        task_row = position.index - unit.first_task;
-        return &unit;
+    const std::span<const step_run> all = this->steps_of(position.occurrence);
+    if (position.step >= all.size())
+        return nullptr;
+    const step_run& step = all[position.step];
+    const bool is_gang = this->submission.steps(static_cast<int>(step.step)).gang();
+    const std::uint32_t index = is_gang ? 0 : position.index;
+    work_unit* unit = index < step.unit_count ? this->units.find(step.first_unit + index) : nullptr;
+    if (unit == nullptr || position.index - unit->first_task >= unit->task_count)
+        return nullptr;
+    task_row = position.index - unit->first_task;
+    return unit;
+}
+
+std::vector<std::string> job_run::take_finished_keys()
+{
+    std::vector<std::string> keys;
+    if (this->finished_occurrences.empty())
+        return keys;
+    const std::uint32_t occurrence = boost::icl::first(this->finished_occurrences);
+    this->finished_occurrences.erase(occurrence);
+    for (std::uint32_t step = 0; step < this->step_offsets.size(); ++step) {
+        const std::uint32_t count = count_units(this->submission.steps(static_cast<int>(step)));
+        for (std::uint32_t index = 0; index < count; ++index)
+            keys.push_back(make_task_name(this->id, {occurrence, step, index}));
     }
-    return nullptr;
+    return keys;
 }
 
 namespace {
@@ -163,7 +285,7 @@
 void job_run::mark_changed(work_unit& unit)
 {
     if (!std::exchange(unit.is_changed, true))
-        this->changed_units.push_back(this->row_of(unit));
+        this->changed_units.push_back(unit.row);
 }
 
 work_unit& job_run::take_changed_unit()
@@ -237,7 +359,7 @@
         const placed_task& task = unit.placed_tasks[row];
         if (task.phase != task_phase::planned)
             continue;
-        orders.push_back({{this->id, this->row_of(unit), row, unit.run},
+        orders.push_back({{this->id, unit.row, row, unit.run},
                           task.executor,
                           task.incarnation_ms,
                           this->format_task_name(unit, row),
--- a/libraries/dispatch/job_run.h
+++ b/libraries/dispatch/job_run.h
@@ -6,13 +6,17 @@
 #include <cstdint>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <vector>
 
+#include <boost/icl/interval_set.hpp>
+
 #include "base/time.h"
 #include "dispatch/executor_health.h"
 #include "dispatch/orders.h"
 #include "dispatch/resources.h"
+#include "dispatch/row_blocks.h"
 #include "jobs.pb.h"
 #include "jobs/fleet_policy.h"
 #include "jobs/job_keys.h"
@@ -44,6 +48,7 @@
 
 // One task, or all tasks of a gang: placed, run, failed and retried as one.
 struct work_unit {
+    std::uint32_t row = 0;      // In job_run::units.
     std::uint32_t step_row = 0; // Row of job_run::steps.
     std::uint32_t first_task = 0;
     std::uint32_t task_count = 1;
@@ -65,55 +70,88 @@
 
 // One occurrence of a step.
 struct step_run {
+    std::uint32_t row = 0; // In job_run::steps.
     std::uint32_t occurrence = 0;
     std::uint32_t step = 0;
+    std::uint32_t first_unit = 0;       // Row of its first unit.
+    std::uint32_t unit_count = 0;       // At least 1.
     std::uint32_t units_left = 0;       // Units that are not done.
     bool is_ready = false;              // The steps that it depends on are done.
+    bool is_open = false;               // Its units exist.
     std::vector<std::uint32_t> waiting; // Units to be placed, when ready.
 };
 
+// Occurrences are added when they are due, and the units of a step once the steps before it are done. A finished
+// occurrence keeps no steps and units. So a job's memory, and the cost of a round, depend on the work that is open and
+// not on all the work that the job consists of.
+//
+// Invariant: a row number belongs to the same unit, or step, throughout the job's life.
 struct job_run {
     std::string id;
     records::Submission submission;
     queue_policy policy;
     boot_time arrived_at;
-    std::vector<step_run> steps;
-    std::vector<work_unit> units;
+    row_blocks<step_run> steps;  // A block of each occurrence that was added and is not finished.
+    row_blocks<work_unit> units; // A block of each open step.
     std::uint32_t occurrences_added = 0;
+    boost::icl::interval_set<std::uint32_t> finished_occurrences; // Each of their units has a record that it is done.
     records::JobPhase phase = records::JOB_PHASE_QUEUED;
     std::vector<std::uint32_t> changed_units; // Rows of the units that changed since their last record, each once.
     bool is_phase_changed = false;            // Since the last record of the phase.
     bool is_end_stored = false;               // The store has the record of the job's final phase.
     std::size_t unresolved_tasks = 0;         // Placed tasks that are not resolved.
 
+    job_run(std::string job_id, const records::Submission& accepted, const queue_policy& queue, boot_time now);
+
     [[nodiscard]] const records::Step& step_of(const work_unit& unit) const
     {
         return this->submission.steps(static_cast<int>(this->steps[unit.step_row].step));
     }
 
-    [[nodiscard]] std::uint32_t row_of(const work_unit& unit) const
+    // The units of the step; none if it is not open.
+    [[nodiscard]] std::span<const work_unit> units_of(const step_run& step) const
     {
-        return static_cast<std::uint32_t>(&unit - this->units.data());
+        return this->units.block(step.first_unit);
     }
 
-    // Adds the steps and units of the next occurrence; none of them may be placed yet.
-    void add_occurrence(std::uint32_t occurrence, boot_time now);
+    // Adds the steps of an occurrence.
+    void add_occurrence(std::uint32_t occurrence);
 
     // Adds the occurrences of which the progress has units, and the only one of a job that runs once.
-    void add_begun_occurrences(const records::JobProgress& progress, boot_time now);
+    void add_begun_occurrences(const records::JobProgress& progress);
 
-    // Adds the occurrences that are due by the wall clock.
-    void add_due_occurrences(std::uint64_t wall_ms, boot_time now);
+    // Adds the occurrences that are due by the wall clock, and opens ready steps.
+    void open_due_work(std::uint64_t wall_ms, boot_time now);
 
-    // Marks the steps whose earlier steps are done as ready, and lets their units wait for placement.
+    // Marks the steps whose earlier steps are done as ready, and opens them.
     void mark_ready_steps(std::uint32_t occurrence, boot_time now);
 
+    // The unit waits for placement, or no longer does.
+    void add_waiting(work_unit& unit, boot_time now);
+    void remove_waiting(const work_unit& unit);
+    void clear_waiting();
+
+    // Counts the unit as done. Returns true if it was the last one of its step.
+    bool finish(work_unit& unit);
+
+    // Whether all units of all occurrences are done.
+    [[nodiscard]] bool is_complete() const
+    {
+        return this->occurrences_added >= this->occurrence_count() && this->unfinished_steps == 0;
+    }
+
+    // Drops the steps and units of occurrences whose units are all done, resolved and recorded.
+    void drop_finished_occurrences();
+
     // Restores what a former leader recorded of a unit. Its placed tasks are uncertain. Returns null if the job has no
     // such unit.
     work_unit* restore_unit(const records::UnitProgress& saved, const records::JobProgress& progress, boot_time now);
 
+    // Called when all units are restored.
+    void finish_restoring(boot_time now);
+
     // Returns the unit that holds the task, and sets `task_row` to the task's row in that unit; null if the job has no
-    // such task.
+    // such task, or its step is not open.
     work_unit* find_unit(const task_position& position, std::uint32_t& task_row);
 
     [[nodiscard]] std::string format_task_name(const work_unit& unit, std::uint32_t task_row) const;
@@ -125,6 +163,15 @@
     void mark_changed(work_unit& unit);
     [[nodiscard]] bool is_changed() const { return this->is_phase_changed || !this->changed_units.empty(); }
 
+    // Whether records of units are left in the store that a job whose end is stored does not need.
+    [[nodiscard]] bool has_records_to_remove() const
+    {
+        return !this->changed_units.empty() || !this->finished_occurrences.empty();
+    }
+
+    // Removes a finished occurrence and returns the keys of its units' records; none if there is no such occurrence.
+    std::vector<std::string> take_finished_keys();
+
     // Returns a changed unit and counts it as recorded. There must be one.
     work_unit& take_changed_unit();
 
@@ -137,6 +184,23 @@
     [[nodiscard]] std::string make_unit_key(const work_unit& unit) const;
 
     [[nodiscard]] std::uint32_t occurrence_count() const { return std::max(1U, this->submission.occurrences()); }
+
+private:
+    [[nodiscard]] std::span<step_run> steps_of(std::uint32_t occurrence)
+    {
+        return this->steps.block(occurrence * static_cast<std::uint32_t>(this->submission.steps_size()));
+    }
+    void open_step(step_run& step);
+    void enqueue_units(step_run& step, boot_time now);
+    void open_ready_steps(boot_time now);
+
+    std::vector<std::uint32_t> step_offsets; // Of each step's first unit from that of its occurrence.
+    std::uint32_t units_per_occurrence = 0;
+    std::vector<std::uint32_t> ready_steps; // Rows of ready steps that are not open, in the order of opening.
+    std::vector<std::uint32_t> completed;   // Occurrences whose units are all done.
+    std::size_t unfinished_steps = 0;       // With units that are not done.
+    std::size_t unfinished_units = 0;       // Of open steps, not done.
+    std::size_t waiting_count = 0;          // In the lists of all steps.
 };
 
 inline resources find_task_resources(const records::Step& step)
--- a/libraries/dispatch/orders.h
+++ b/libraries/dispatch/orders.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <string>
+#include <tuple>
 
 namespace wigeon {
 
@@ -15,6 +16,11 @@
     std::uint32_t run = 0;
 
     friend bool operator==(const task_reference&, const task_reference&) = default;
+    friend bool operator<(const task_reference& left, const task_reference& right)
+    {
+        return std::tie(left.job, left.unit_row, left.task_row, left.run) <
+               std::tie(right.job, right.unit_row, right.task_row, right.run);
+    }
 };
 
 struct start_order {
--- a/libraries/dispatch/run_tracker.cpp
+++ b/libraries/dispatch/run_tracker.cpp
@@ -39,20 +39,15 @@
 job_run& run_tracker::add(const std::string& id, const records::Submission& submission, const queue_policy& policy,
                           const records::JobProgress& progress, boot_time now)
 {
-    const auto [inserted, is_new] = this->jobs_by_id.try_emplace(id);
+    const auto [inserted, is_new] = this->jobs_by_id.try_emplace(id, id, submission, policy, now);
     job_run& job = inserted->second;
     if (!is_new)
         return job;
-    job.id = id;
-    job.submission = submission;
-    job.policy = policy;
-    job.arrived_at = now;
     job.phase = progress.phase();
-    job.add_begun_occurrences(progress, now);
+    job.add_begun_occurrences(progress);
     for (const records::UnitProgress& saved : progress.units())
         this->restore_unit(job, saved, progress, now);
-    for (std::uint32_t occurrence = 0; occurrence < job.occurrences_added; ++occurrence)
-        job.mark_ready_steps(occurrence, now);
+    job.finish_restoring(now);
     this->restore_phase(job, now);
     return job;
 }
@@ -63,6 +58,7 @@
 {
     if (!is_active(job)) {
         job.is_end_stored = true;
+        job.clear_waiting();
         for (work_unit& unit : job.units) {
             this->stop_unit(job, unit, now);
             if (unit.is_recorded && unit.placed_tasks.empty())
@@ -70,16 +66,17 @@
         }
         return;
     }
-    if (job.phase == records::JOB_PHASE_QUEUED && std::ranges::any_of(job.units, &work_unit::is_recorded)) {
+    const bool has_begun = !job.finished_occurrences.empty() || std::ranges::any_of(job.units, &work_unit::is_recorded);
+    if (job.phase == records::JOB_PHASE_QUEUED && has_begun) {
         job.phase = records::JOB_PHASE_RUNNING;
         job.is_phase_changed = true;
     }
 }
 
-void run_tracker::add_due_occurrences(job_run& job, std::uint64_t wall_ms, boot_time now)
+void run_tracker::open_due_work(job_run& job, std::uint64_t wall_ms, boot_time now)
 {
     if (is_active(job))
-        job.add_due_occurrences(wall_ms, now);
+        job.open_due_work(wall_ms, now);
 }
 
 void run_tracker::restore_unit(job_run& job, const records::UnitProgress& saved, const records::JobProgress& progress,
@@ -88,11 +85,10 @@
     const work_unit* unit = job.restore_unit(saved, progress, now);
     if (unit == nullptr)
         return;
-    const auto unit_row = job.row_of(*unit);
     const resources per_task = find_task_resources(job.step_of(*unit));
     std::uint32_t task_row = 0;
     for (const placed_task& task : unit->placed_tasks) {
-        this->index.add({job.id, unit_row, task_row++, unit->run}, task.executor);
+        this->index.add({job.id, unit->row, task_row++, unit->run}, task.executor);
         if (executor* target = this->registry.find(task.executor))
             target->used += per_task;
     }
@@ -101,9 +97,9 @@
 placed_task* run_tracker::find_task(const task_reference& reference, job_run*& job, work_unit*& unit)
 {
     job = this->find(reference.job);
-    if (job == nullptr || reference.unit_row >= job->units.size())
+    unit = job == nullptr ? nullptr : job->units.find(reference.unit_row);
+    if (unit == nullptr)
         return nullptr;
-    unit = &job->units[reference.unit_row];
     if (unit->run != reference.run || reference.task_row >= unit->placed_tasks.size())
         return nullptr;
     return &unit->placed_tasks[reference.task_row];
@@ -116,7 +112,7 @@
     unit.placed_at = now;
     unit.reserved_on.clear();
     unit.preemption_tried_at.reset();
-    std::erase(job.steps[unit.step_row].waiting, unit_row);
+    job.remove_waiting(unit);
     const resources per_task = find_task_resources(job.step_of(unit));
     for (const std::string& id : executors) {
         executor* target = this->registry.find(id);
@@ -223,9 +219,8 @@
     --job.unresolved_tasks;
     if (executor* target = this->registry.find(task.executor))
         target->used -= find_task_resources(job.step_of(unit));
-    const auto unit_row = job.row_of(unit);
     const auto task_row = static_cast<std::uint32_t>(&task - unit.placed_tasks.data());
-    this->index.remove({job.id, unit_row, task_row, unit.run}, task.executor);
+    this->index.remove({job.id, unit.row, task_row, unit.run}, task.executor);
     const bool is_settled = std::all_of(unit.placed_tasks.begin(), unit.placed_tasks.end(),
                                         [](const placed_task& other) { return other.phase == task_phase::resolved; });
     if (is_settled) {
@@ -242,25 +237,19 @@
     job.mark_changed(unit);
     if (unit.is_done || !is_active(job))
         return;
-    unit.waiting_since = now;
-    job.steps[unit.step_row].waiting.push_back(job.row_of(unit));
+    job.add_waiting(unit, now);
 }
 
 void run_tracker::finish_unit(job_run& job, work_unit& unit, boot_time now)
 {
     if (unit.is_done)
         return;
-    unit.is_done = true;
     job.mark_changed(unit);
-    step_run& step = job.steps[unit.step_row];
-    std::erase(step.waiting, job.row_of(unit));
-    if (--step.units_left > 0)
+    if (!job.finish(unit))
         return;
-    job.mark_ready_steps(step.occurrence, now);
-    const bool is_complete =
-        job.occurrences_added >= job.occurrence_count() &&
-        std::all_of(job.steps.begin(), job.steps.end(), [](const step_run& other) { return other.units_left == 0; });
-    if (is_complete && is_active(job))
+    if (is_active(job))
+        job.mark_ready_steps(job.steps[unit.step_row].occurrence, now);
+    if (job.is_complete() && is_active(job))
         this->end_job(job, records::JOB_PHASE_COMPLETED, now);
 }
 
@@ -268,8 +257,7 @@
 {
     job.phase = phase;
     job.is_phase_changed = true;
-    for (step_run& step : job.steps)
-        step.waiting.clear();
+    job.clear_waiting();
     for (work_unit& unit : job.units) {
         if (!unit.is_done)
             this->stop_unit(job, unit, now);
@@ -360,7 +348,7 @@
     task.confirmed_at = std::max(task.confirmed_at, sent_at);
     if (!reported.checkpoint.empty())
         unit->checkpoint = reported.checkpoint;
-    const task_reference running_reference{job->id, job->row_of(*unit), task_row, reported.run};
+    const task_reference running_reference{job->id, unit->row, task_row, reported.run};
     if (!is_active(*job))
         this->request_stop(*job, *unit, task, now);
     return running_reference;
@@ -378,13 +366,14 @@
         if (known)
             running.push_back(std::move(*known));
     }
+    std::sort(running.begin(), running.end());
     this->registry.apply_poll_report(source, report, sent_at, now);
     // A task that is not listed may be one whose end was left out.
     if (!report.may_omit_ends)
         this->stop_missing_tasks(source, running, sent_at, now);
 }
 
-// Handles the tasks that a complete report lists neither as running nor as ended.
+// Handles the tasks that a complete report lists neither as running nor as ended. `running` is sorted.
 void run_tracker::stop_missing_tasks(const executor& source, std::span<const task_reference> running, boot_time sent_at,
                                      boot_time now)
 {
@@ -394,7 +383,7 @@
         placed_task* task = this->find_task(reference, job, unit);
         if (task == nullptr || task->phase == task_phase::planned || task->phase == task_phase::resolved)
             continue;
-        const bool is_reported = std::find(running.begin(), running.end(), reference) != running.end();
+        const bool is_reported = std::binary_search(running.begin(), running.end(), reference);
         if (is_reported || task->phase == task_phase::ordered)
             continue;
         // After an acknowledged stop, no start order in flight can start the task any more.
@@ -477,7 +466,8 @@
 {
     std::erase_if(this->jobs_by_id, [](const auto& entry) {
         const job_run& job = entry.second;
-        return is_final(job.phase) && job.is_end_stored && !job.is_changed() && job.unresolved_tasks == 0;
+        return is_final(job.phase) && job.is_end_stored && !job.is_changed() && !job.has_records_to_remove() &&
+               job.unresolved_tasks == 0;
     });
 }
 
--- a/libraries/dispatch/run_tracker.h
+++ b/libraries/dispatch/run_tracker.h
@@ -30,8 +30,8 @@
                  const records::JobProgress& progress, boot_time now);
     void cancel(std::string_view id, boot_time now);
 
-    // Adds the units of occurrences that are due by the wall clock.
-    void add_due_occurrences(job_run& job, std::uint64_t wall_ms, boot_time now);
+    // Adds the occurrences that are due by the wall clock, and opens ready steps, as far as the job's limits allow.
+    void open_due_work(job_run& job, std::uint64_t wall_ms, boot_time now);
 
     void place(job_run& job, std::uint32_t unit_row, std::span<const std::string> executors, boot_time now);
 
--- a/libraries/dispatch/work_queue.cpp
+++ b/libraries/dispatch/work_queue.cpp
@@ -31,8 +31,14 @@
 // with `include_done`.
 milliseconds find_critical_path(const job_run& job, bool include_done)
 {
+    std::vector<bool> is_done(static_cast<std::size_t>(job.submission.steps_size()), false);
+    if (!include_done) {
+        is_done.assign(is_done.size(), !job.finished_occurrences.empty());
+        for (const step_run& run : job.steps)
+            is_done[run.step] = is_done[run.step] || run.units_left == 0;
+    }
     // Steps depend on earlier ones only, so one pass finds the longest chain.
-    std::vector<std::int64_t> path(static_cast<std::size_t>(job.submission.steps_size()), 0);
+    std::vector<std::int64_t> path(is_done.size(), 0);
     std::int64_t longest = 0;
     for (int row = 0; row < job.submission.steps_size(); ++row) {
         const records::Step& step = job.submission.steps(row);
@@ -41,11 +47,8 @@
             if (earlier < path.size())
                 before = std::max(before, path[earlier]);
         }
-        const bool is_skipped =
-            !include_done && std::any_of(job.steps.begin(), job.steps.end(), [row](const step_run& run) {
-                return run.step == static_cast<std::uint32_t>(row) && run.units_left == 0;
-            });
-        path[static_cast<std::size_t>(row)] = before + (is_skipped ? 0 : step.estimate_ms());
+        path[static_cast<std::size_t>(row)] =
+            before + (is_done[static_cast<std::size_t>(row)] ? 0 : step.estimate_ms());
         longest = std::max(longest, path[static_cast<std::size_t>(row)]);
     }
     return milliseconds(longest);
@@ -99,19 +102,19 @@
         if (is_final(job.phase))
             continue;
         std::optional<waiting_step> common; // What all steps of the job share.
-        for (std::uint32_t row = 0; row < job.steps.size(); ++row) {
-            if (job.steps[row].waiting.empty())
+        for (const step_run& step : job.steps) {
+            if (step.waiting.empty())
                 continue;
             if (!common) {
                 const job_timing timing = this->find_timing(job);
                 common = waiting_step{&job,
-                                      row,
+                                      step.row,
                                       timing.rank,
                                       make_order_key(timing, now),
                                       can_meet_deadline(timing, now),
                                       timing.deadline - now - timing.critical_path};
             }
-            common->step_row = row;
+            common->step_row = step.row;
             waiting.push_back(*common);
         }
     }
--- a/libraries/jobs/unit_records.cpp
+++ b/libraries/jobs/unit_records.cpp
@@ -2,10 +2,71 @@
 
 #include "jobs/unit_records.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace wigeon {
 
+std::uint32_t count_units(const records::Step& step)
+{
+    return step.gang() ? 1 : std::max(1U, step.count());
+}
+
+std::uint32_t count_units(const records::Submission& submission)
+{
+    std::uint32_t count = 0;
+    for (const records::Step& step : submission.steps())
+        count += count_units(step);
+    return count;
+}
+
+bool unit_progress_collector::add(const keyed_record& record)
+{
+    const auto name = parse_task_name(record.key);
+    if (!name)
+        return false;
+    if (name->job != this->current.job || name->position.occurrence != this->current.occurrence) {
+        this->finish_occurrence();
+        const records::JobProgress& before = this->progress[name->job];
+        this->current = {name->job, name->position.occurrence, before.units_size(), before.executors_size(), true};
+    }
+    if (!add_unit_record(record, this->progress))
+        return false;
+    const records::JobProgress& job = this->progress[name->job];
+    this->current.is_done = this->current.is_done && job.units(job.units_size() - 1).done();
+    return true;
+}
+
+void unit_progress_collector::finish_occurrence()
+{
+    const job_entry* job = this->jobs.find(this->current.job);
+    if (job == nullptr || !job->submission || !this->current.is_done)
+        return;
+    records::JobProgress& collected = this->progress[this->current.job];
+    const int unit_count = collected.units_size() - this->current.first_unit;
+    if (unit_count == 0 || static_cast<std::uint32_t>(unit_count) != count_units(*job->submission))
+        return;
+    collected.mutable_units()->DeleteSubrange(this->current.first_unit, unit_count);
+    collected.mutable_executors()->DeleteSubrange(this->current.first_executor,
+                                                  collected.executors_size() - this->current.first_executor);
+    this->finished[this->current.job].add(this->current.occurrence);
+}
+
+unit_progress_map unit_progress_collector::finish()
+{
+    this->finish_occurrence();
+    for (const auto& [job, occurrences] : this->finished) {
+        for (const auto& interval : occurrences) {
+            records::OccurrenceRange& range = *this->progress[job].add_finished();
+            range.set_first(boost::icl::first(interval));
+            range.set_count(static_cast<std::uint32_t>(boost::icl::size(interval)));
+        }
+    }
+    std::erase_if(this->progress,
+                  [](const auto& entry) { return entry.second.units().empty() && entry.second.finished().empty(); });
+    return std::move(this->progress);
+}
+
 bool add_unit_record(const keyed_record& record, unit_progress_map& progress)
 {
     const auto name = parse_task_name(record.key);
--- a/libraries/node/executor_sessions.cpp
+++ b/libraries/node/executor_sessions.cpp
@@ -8,6 +8,7 @@
 
 #include "base/logging.h"
 #include "base/metrics.h"
+#include "base/turn_timer.h"
 
 namespace wigeon {
 
@@ -25,6 +26,9 @@
 // Delay of the next poll while ends are being written to the store, since each poll reports these ends again.
 constexpr milliseconds unrecorded_ends_poll_delay{500};
 
+// Interval of the renewals of a leader that is not polling yet. A lease lasts several times as long.
+constexpr milliseconds lease_renewal_interval{1'000};
+
 // Added to the longest time of a stop: the margin that run_tracker requires, and a little for timers.
 constexpr milliseconds stop_check_margin{60};
 
@@ -157,6 +161,64 @@
         this->poll_now(id);
 }
 
+void executor_sessions::renew_leases(boot_time now)
+{
+    std::vector<std::string> due;
+    for (const auto& [id, session] : this->sessions) {
+        if (!session.is_polling && now - session.leases_renewed_at >= lease_renewal_interval)
+            due.push_back(id);
+    }
+    for (const std::string& id : due)
+        this->renew_leases_of(id, now);
+}
+
+void executor_sessions::renew_leases_of(const std::string& id, boot_time now)
+{
+    const auto found = this->sessions.find(id);
+    executor* known_executor = this->job_dispatcher.executors().find(id);
+    if (this->is_stopped || found == this->sessions.end() || known_executor == nullptr)
+        return;
+    if (!this->event_listener.check_leadership(now))
+        return;
+    found->second.is_polling = true;
+    found->second.leases_renewed_at = now;
+    poll_request request;
+    request.fencing_token = this->fencing_token;
+    // The first answer tells the executor's clock.
+    if (known_executor->is_reached)
+        request.lease_deadline = this->job_dispatcher.executors().extend_lease(*known_executor, now);
+    this->executors.poll({id, known_executor->entry.address}, request,
+                         [self = this->shared_from_this(), id, now](const poll_result& result) {
+                             self->handle_renewal_result(id, now, result);
+                         });
+}
+
+void executor_sessions::handle_renewal_result(const std::string& id, boot_time sent_at, poll_result result)
+{
+    const auto found = this->sessions.find(id);
+    if (this->is_stopped || found == this->sessions.end())
+        return;
+    found->second.is_polling = false;
+    if (result.outcome == request_outcome::fenced) {
+        this->handle_fenced(id);
+        return;
+    }
+    const executor* known_executor = this->job_dispatcher.executors().find(id);
+    const bool was_reached = known_executor != nullptr && known_executor->is_reached;
+    const boot_time now = boot_clock::now();
+    if (result.outcome == request_outcome::accepted) {
+        // The tasks are not known yet. What the report says of them is read by the first poll.
+        result.report.running.clear();
+        result.report.ended.clear();
+        result.report.may_omit_ends = true;
+        this->job_dispatcher.handle_poll_report(id, result.report, sent_at, now);
+    }
+    if (this->is_active)
+        this->schedule_poll(id, milliseconds(0));
+    else if (result.outcome == request_outcome::accepted && !was_reached)
+        this->renew_leases_of(id, now);
+}
+
 void executor_sessions::stop()
 {
     this->is_stopped = true;
@@ -351,6 +413,7 @@
 
 void executor_sessions::handle_poll_result(const std::string& id, boot_time sent_at, const poll_result& result)
 {
+    const turn_timer timer("poll_result");
     if (this->is_stopped)
         return;
     const auto found = this->sessions.find(id);
--- a/libraries/node/executor_sessions.h
+++ b/libraries/node/executor_sessions.h
@@ -44,6 +44,10 @@
     void start();
     void start_polling();
 
+    // Renews the leases of all executors if that is due, without a look at what they run. For a leader whose jobs are
+    // not loaded yet; called repeatedly until start_polling().
+    void renew_leases(boot_time now);
+
     // Called after a configuration or a job may have named a pool for the first time.
     void handle_pool_change(boot_time now);
 
@@ -63,12 +67,15 @@
         bool is_polling = false;
         std::unique_ptr<boost::asio::steady_timer> timer;
         std::uint32_t consecutive_failures = 0;
+        boot_time leases_renewed_at; // Before polling; when the newest of these calls was sent.
     };
 
     class directory_consumer;
 
     void handle_start_result(const start_order& order, const order_result& result, boot_time now);
     void schedule_stop_check(const stop_order& order);
+    void renew_leases_of(const std::string& id, boot_time now);
+    void handle_renewal_result(const std::string& id, boot_time sent_at, poll_result result);
     void poll(const std::string& id);
     void schedule_poll(const std::string& id, milliseconds delay);
     void handle_poll_result(const std::string& id, boot_time sent_at, const poll_result& result);
--- a/libraries/node/leader.cpp
+++ b/libraries/node/leader.cpp
@@ -5,8 +5,11 @@
 #include <algorithm>
 #include <utility>
 
+#include <boost/asio/post.hpp>
+
 #include "base/logging.h"
 #include "base/metrics.h"
+#include "base/turn_timer.h"
 #include "jobs/job_keys.h"
 
 namespace wigeon {
@@ -32,6 +35,14 @@
 // Tombstones of units whose jobs are gone that one append may hold, so that a heartbeat never waits long for it.
 constexpr std::size_t stale_records_per_append = 10'000;
 
+// Jobs and units that one turn of the event loop restores, so that heartbeats, polls and callers never wait long for
+// it.
+constexpr std::size_t restored_per_turn = 2'000;
+
+// After this time of preparation, the leases of running tasks are renewed. Shorter than a lease, which the former
+// leader's last renewal has begun; most preparations are over before.
+constexpr milliseconds lease_renewal_delay{1'000};
+
 // Interval of the checks whether a heartbeat is due while a new leader prepares.
 constexpr milliseconds heartbeat_check_interval{100};
 
@@ -76,7 +87,7 @@
       scheduler(loop),
       recorder(std::make_shared<progress_recorder>(loop, external.store, shared_state, options.identity, term,
                                                    term_started_at)),
-      units(std::make_shared<unit_loader>(scheduler, external.store)),
+      units(std::make_shared<unit_loader>(scheduler, external.store, shared_state.jobs())),
       sessions(std::make_shared<executor_sessions>(loop, external, job_dispatcher, make_fencing_token(term), *this)),
       sweeper(std::make_shared<job_sweeper>(external.store, shared_state, options.job_retention)),
       heartbeat_timer(loop),
@@ -122,6 +133,10 @@
                 self->schedule_round(self->next_round_delay);
         });
     }
+    if (now - this->term_started_at > lease_renewal_delay)
+        this->renew_leases(now);
+    if (this->stage != phase::preparing)
+        return;
     this->heartbeat_timer.expires_after(heartbeat_check_interval);
     this->heartbeat_timer.async_wait([self = this->shared_from_this()](const boost::system::error_code& reason) {
         if (!reason)
@@ -129,6 +144,22 @@
     });
 }
 
+void leader::renew_leases(boot_time now)
+{
+    if (!this->state.policy())
+        return;
+    if (!std::exchange(this->has_renewed_leases, true)) {
+        log_event("preparation_is_long", {{"term", std::to_string(this->own_term)}});
+        this->job_dispatcher.set_policy(*this->state.policy());
+        for (const auto& [id, job] : this->state.jobs().all()) {
+            if (job.submission && !job.is_final())
+                this->job_dispatcher.add_pool_of(*job.submission);
+        }
+        this->sessions->handle_pool_change(now);
+    }
+    this->sessions->renew_leases(now);
+}
+
 void leader::read_state()
 {
     this->state.refresh_progress([self = this->shared_from_this()](bool is_progress_current) {
@@ -165,7 +196,7 @@
         this->convert_records();
     else {
         this->job_dispatcher.set_progress_format(progress_format::per_job);
-        this->begin_leading({});
+        this->begin_restoring({});
     }
 }
 
@@ -187,40 +218,71 @@
 {
     this->units->start([self = this->shared_from_this()](unit_progress_map loaded) {
         if (self->stage == phase::preparing)
-            self->begin_leading(std::move(loaded));
+            self->begin_restoring(std::move(loaded));
     });
 }
 
-void leader::begin_leading(unit_progress_map loaded)
+void leader::begin_restoring(unit_progress_map loaded)
+{
+    this->loaded_units = std::move(loaded);
+    this->job_dispatcher.set_policy(*this->state.policy());
+    this->sessions->handle_pool_change(boot_clock::now());
+    this->restore_jobs();
+}
+
+void leader::restore_jobs()
+{
+    if (this->stage != phase::preparing)
+        return;
+    const turn_timer timer("restore_jobs");
+    const boot_time now = boot_clock::now();
+    const auto& jobs = this->state.jobs().all();
+    std::size_t restored = 0;
+    auto next = jobs.upper_bound(this->last_restored_job);
+    for (; next != jobs.end() && restored < restored_per_turn; ++next) {
+        restored += 1 + this->restore_job(next->first, next->second, now);
+        this->last_restored_job = next->first;
+    }
+    if (next == jobs.end())
+        this->begin_leading();
+    else
+        boost::asio::post(this->read_timer.get_executor(), [self = this->shared_from_this()] { self->restore_jobs(); });
+}
+
+// Returns the number of units that were restored.
+std::size_t leader::restore_job(const std::string& id, const job_entry& job, boot_time now)
+{
+    if (!job.submission)
+        return 0;
+    const auto found = this->loaded_units.find(id);
+    if (found == this->loaded_units.end()) {
+        this->handle_job_change(id, now);
+        return static_cast<std::size_t>(job.progress.units_size());
+    }
+    found->second.set_phase(job.progress.phase());
+    this->add_job(id, job, found->second, now);
+    const auto unit_count = static_cast<std::size_t>(found->second.units_size());
+    this->loaded_units.erase(found);
+    return unit_count;
+}
+
+void leader::begin_leading()
 {
     const boot_time now = boot_clock::now();
     this->stage = phase::leading;
     this->heartbeat_timer.cancel();
     this->state.begin_leading(*this);
+    // What was read while the jobs were restored.
     this->job_dispatcher.set_policy(*this->state.policy());
-    this->sessions->handle_pool_change(now);
     std::size_t open_jobs = 0;
     for (const auto& [id, job] : this->state.jobs().all()) {
-        if (!job.submission)
-            continue;
-        if (!job.is_final())
-            ++open_jobs;
-        const auto found = loaded.find(id);
-        if (found == loaded.end()) {
-            this->handle_job_change(id, now);
-            continue;
-        }
-        found->second.set_phase(job.progress.phase());
-        this->add_job(id, job, found->second, now);
-        loaded.erase(found);
-    }
-    for (const auto& [id, progress] : loaded) {
-        for (const records::UnitProgress& unit : progress.units())
-            this->stale_unit_records.push_back({make_unit_key(id, unit), std::nullopt});
+        open_jobs += job.submission && !job.is_final() ? 1 : 0;
+        this->handle_job_change(id, now);
     }
     log_event("leading", {{"term", std::to_string(this->own_term)},
                           {"open_jobs", std::to_string(open_jobs)},
                           {"executors", std::to_string(this->job_dispatcher.executors().all().size())},
+                          {"stale_jobs", std::to_string(this->loaded_units.size())},
                           {"after_ms", std::to_string((now - this->term_started_at).count())}});
     process_metrics().set_gauge("wigeon_leading", 1);
     this->sessions->start_polling();
@@ -305,6 +367,7 @@
 
 void leader::run_round()
 {
+    const turn_timer timer("round");
     const boot_time now = boot_clock::now();
     if (this->recorder->has_timed_out(now)) {
         this->finish(leadership_end::store_out_of_reach);
@@ -366,18 +429,24 @@
         this->apply_committed();
 }
 
+// Returns tombstones of units whose jobs are gone, for the next append.
 std::vector<keyed_record> leader::take_stale_unit_records()
 {
-    const std::size_t count = std::min(this->stale_unit_records.size(), stale_records_per_append);
-    const auto first = this->stale_unit_records.end() - static_cast<std::ptrdiff_t>(count);
-    std::vector<keyed_record> taken(std::make_move_iterator(first),
-                                    std::make_move_iterator(this->stale_unit_records.end()));
-    this->stale_unit_records.erase(first, this->stale_unit_records.end());
+    std::vector<keyed_record> taken;
+    while (!this->loaded_units.empty() && taken.size() < stale_records_per_append) {
+        const auto job = this->loaded_units.begin();
+        auto& units = *job->second.mutable_units();
+        for (; !units.empty() && taken.size() < stale_records_per_append; units.RemoveLast())
+            taken.push_back({make_unit_key(job->first, units[units.size() - 1]), std::nullopt});
+        if (units.empty())
+            this->loaded_units.erase(job);
+    }
     return taken;
 }
 
 void leader::apply_committed()
 {
+    const turn_timer timer("apply_committed");
     const boot_time now = boot_clock::now();
     const dispatch_changes changes = std::move(*this->pending_changes);
     this->pending_changes.reset();
--- a/libraries/node/leader.h
+++ b/libraries/node/leader.h
@@ -1,5 +1,6 @@
 // One term of leadership: fences off the former leader, loads the state, converts it to the per-unit format if that is
-// wanted, polls all executors, and places tasks until the term ends.
+// wanted, polls all executors, and places tasks until the term ends. While it prepares, heartbeats keep the term and
+// lease renewals keep the running tasks, so neither depends on how long the preparation takes.
 
 #pragma once
 
@@ -71,12 +72,16 @@
     enum class phase : std::uint8_t { fencing, preparing, leading, ended };
 
     void send_heartbeats();
+    void renew_leases(boot_time now);
     void read_state();
     void read_state_later();
     void handle_state_read(bool is_current);
     void convert_records();
     void load_units();
-    void begin_leading(unit_progress_map units);
+    void begin_restoring(unit_progress_map units);
+    void restore_jobs();
+    std::size_t restore_job(const std::string& id, const job_entry& job, boot_time now);
+    void begin_leading();
     void add_job(const std::string& id, const job_entry& job, const records::JobProgress& progress, boot_time now);
     void finish(leadership_end end);
 
@@ -108,12 +113,15 @@
     boost::asio::steady_timer read_timer;
     boost::asio::steady_timer round_timer;
     boost::asio::steady_timer maintenance_timer;
+    bool has_renewed_leases = false; // While preparing.
     bool is_round_scheduled = false;
     milliseconds next_round_delay{3}; // Derived from the duration of the last round.
     bool is_resigning = false;
     bool is_resignation_in_flight = false;           // The append in flight records the resignation.
     std::optional<dispatch_changes> pending_changes; // What takes effect once the append in flight is stored.
-    std::vector<keyed_record> stale_unit_records;    // Tombstones of units whose jobs are gone, still to be appended.
+    unit_progress_map
+        loaded_units; // Not restored so far; while leading, of jobs that are gone: their records are removed.
+    std::string last_restored_job; // While preparing; jobs are restored in the order of their ids.
 };
 
 } // namespace wigeon
--- a/libraries/node/unit_loader.cpp
+++ b/libraries/node/unit_loader.cpp
@@ -6,6 +6,7 @@
 
 #include "base/logging.h"
 #include "base/metrics.h"
+#include "base/turn_timer.h"
 
 namespace wigeon {
 
@@ -16,8 +17,8 @@
 
 } // namespace
 
-unit_loader::unit_loader(event_scheduler& event_loop, record_store& backing_store)
-    : scheduler(event_loop), store(backing_store), pacer(loading_pace)
+unit_loader::unit_loader(event_scheduler& event_loop, record_store& backing_store, const job_table& jobs)
+    : scheduler(event_loop), store(backing_store), pacer(loading_pace), collector(jobs)
 {
 }
 
@@ -47,6 +48,7 @@
 
 void unit_loader::handle_page(const newest_page& page, boot_time sent_at)
 {
+    const turn_timer timer("unit_page");
     if (!page.is_done) {
         count_retry("units_read");
         this->pacer.record_failure();
@@ -57,17 +59,21 @@
     this->pacer.record_success(this->scheduler.now() - sent_at, page.has_more);
     for (const stored_record& record : page.records) {
         this->last_key = record.content.key;
-        if (add_unit_record(record.content, this->progress))
+        if (this->collector.add(record.content))
             continue;
         process_metrics().count("wigeon_documents_skipped_total");
         log_event("document_skipped", {{"topic", std::string(units_topic)},
                                        {"key", record.content.key},
                                        {"reason", "record is not the progress of a unit"}});
     }
-    if (page.has_more && !page.records.empty())
+    this->record_count += page.records.size();
+    if (page.has_more && !page.records.empty()) {
         this->read_page();
-    else if (const auto handler = std::exchange(this->done, nullptr))
-        handler(std::move(this->progress));
+        return;
+    }
+    log_event("units_loaded", {{"records", std::to_string(this->record_count)}});
+    if (const auto handler = std::exchange(this->done, nullptr))
+        handler(this->collector.finish());
 }
 
 } // namespace wigeon
--- a/libraries/node/unit_loader.h
+++ b/libraries/node/unit_loader.h
@@ -16,7 +16,7 @@
 // Must run after the former leader was fenced off: pages that are read while it appends could miss a unit.
 class unit_loader : public std::enable_shared_from_this<unit_loader> {
 public:
-    unit_loader(event_scheduler& scheduler, record_store& store);
+    unit_loader(event_scheduler& scheduler, record_store& store, const job_table& jobs);
 
     // Reads page after page, each until it succeeds, then calls `done` once.
     void start(std::function<void(unit_progress_map)> done);
@@ -32,7 +32,8 @@
     record_store& store;
     read_pacer pacer;
     std::function<void(unit_progress_map)> done;
-    unit_progress_map progress;
+    unit_progress_collector collector;
+    std::size_t record_count = 0;
     std::string last_key; // Of the newest page that was read.
     bool is_stopped = false;
 };
--- a/tests/dispatch/leader_property_test.cpp
+++ b/tests/dispatch/leader_property_test.cpp
@@ -172,13 +172,22 @@
             if (row > 0)
                 step.add_after(row - 1);
         }
+        // Occurrences are due from the start, one after the other or all at once.
+        if (this->draw(4) == 0) {
+            submission.set_occurrences(2 + this->draw(3));
+            submission.set_interval_ms(this->draw(2) == 0 ? 0 : 2'000);
+            submission.set_first_due_ms(this->read_wall_clock());
+        }
         this->submissions[id] = submission;
+        this->table.apply_submission_record({id, submission.SerializeAsString()}, this->now);
         this->accepted.push_back(id);
         this->fleet.define_job(id, submission);
         if (this->leader)
             this->leader->add_job(id, submission, {}, 0, this->now);
     }
 
+    [[nodiscard]] std::int64_t read_wall_clock() const { return this->now.time_since_epoch().count(); }
+
     void cancel()
     {
         if (this->accepted.empty())
@@ -230,7 +239,7 @@
                 this->poll(entry.id);
         }
         if (!this->is_append_in_flight) {
-            this->leader->decide(0, this->now);
+            this->leader->decide(static_cast<std::uint64_t>(this->read_wall_clock()), this->now);
             this->append(this->leader->collect_changes());
         }
         for (const stop_order& order : this->leader->collect_stops(this->now))
@@ -376,11 +385,11 @@
         records::JobProgress stored = this->progress[id];
         if (this->format == progress_format::per_job)
             return stored;
-        unit_progress_map loaded;
+        unit_progress_collector collector(this->table);
         for (const auto& [key, content] : this->units)
-            add_unit_record({key, content}, loaded);
-        records::JobProgress restored = loaded[id];
-        if (is_final(stored.phase()) && restored.units().empty())
+            collector.add({key, content});
+        records::JobProgress restored = collector.finish()[id];
+        if (is_final(stored.phase()) && restored.units().empty() && restored.finished().empty())
             return std::nullopt;
         restored.set_phase(stored.phase());
         return restored;
@@ -395,6 +404,7 @@
     std::map<std::string, bool> is_partitioned;
     std::map<std::string, bool> is_polling;
     std::map<std::string, records::Submission> submissions;
+    job_table table;                                      // Of the submissions.
     std::map<std::string, records::JobProgress> progress; // Content of the store; only the phases if there are units.
     std::map<std::string, std::string> units;             // Content of the topic of units.
     std::vector<std::string> accepted;
--- a/tests/dispatch/run_tracker_test.cpp
+++ b/tests/dispatch/run_tracker_test.cpp
@@ -420,11 +420,11 @@
     submission.set_first_due_ms(5'000);
     submission.set_interval_ms(1'000);
     job_run& job = this->tracker.add("job", submission, {}, {}, this->now);
-    this->tracker.add_due_occurrences(job, 4'999, this->now);
+    this->tracker.open_due_work(job, 4'999, this->now);
     BOOST_TEST(job.steps.empty());
-    this->tracker.add_due_occurrences(job, 5'000, this->now);
+    this->tracker.open_due_work(job, 5'000, this->now);
     BOOST_TEST(job.steps.size() == 1U);
-    this->tracker.add_due_occurrences(job, 7'000, this->now);
+    this->tracker.open_due_work(job, 7'000, this->now);
     BOOST_TEST(job.steps.size() == 2U);
 }
 
--- a/tests/jobs/unit_records_test.cpp
+++ b/tests/jobs/unit_records_test.cpp
@@ -1,5 +1,8 @@
 // Records of single units and the progress of a whole job say the same.
 
+#include <map>
+#include <string>
+
 #include <boost/test/unit_test.hpp>
 
 #include "jobs/unit_records.h"
@@ -88,6 +91,55 @@
     BOOST_TEST(loaded.empty());
 }
 
+// Guards against a new leader that holds each unit that was ever done (review case 7).
+BOOST_AUTO_TEST_SUITE(of_finished_occurrences)
+
+BOOST_AUTO_TEST_CASE(are_collected_as_ranges_and_the_others_unit_by_unit)
+{
+    records::Submission submission;
+    submission.set_occurrences(20);
+    submission.add_steps()->set_count(2);
+    submission.add_steps()->set_gang(true);
+    job_table jobs;
+    jobs.apply_submission_record({job, submission.SerializeAsString()}, boot_time{});
+    std::map<std::string, std::string> stored; // The store lists records in the order of their keys.
+    const auto add = [&stored](const task_position& position, bool is_done) {
+        records::UnitRecord record;
+        record.mutable_progress()->set_done(is_done);
+        record.mutable_progress()->set_run(is_done ? 0 : 1);
+        stored[make_task_name(job, position)] = record.SerializeAsString();
+    };
+    for (std::uint32_t occurrence = 0; occurrence < 13; ++occurrence) {
+        for (const task_position& position : {task_position{occurrence, 0, 0}, {occurrence, 0, 1}, {occurrence, 1, 0}})
+            add(position, occurrence != 4 || position.step == 0);
+    }
+    add({15, 0, 0}, true); // Its other units were not placed.
+    unit_progress_collector collector(jobs);
+    for (const auto& [key, content] : stored)
+        BOOST_TEST(collector.add({key, content}));
+    const unit_progress_map collected = collector.finish();
+    const records::JobProgress& progress = collected.at(job);
+    BOOST_REQUIRE(progress.finished_size() == 2);
+    BOOST_TEST(progress.finished(0).first() == 0U);
+    BOOST_TEST(progress.finished(0).count() == 4U);
+    BOOST_TEST(progress.finished(1).first() == 5U);
+    BOOST_TEST(progress.finished(1).count() == 8U);
+    BOOST_TEST(progress.units_size() == 4);
+}
+
+BOOST_AUTO_TEST_CASE(of_an_unknown_job_are_kept_unit_by_unit)
+{
+    const job_table no_jobs;
+    unit_progress_collector collector(no_jobs);
+    records::UnitRecord done;
+    done.mutable_progress()->set_done(true);
+    BOOST_TEST(collector.add({make_task_name(job, {0, 0, 0}), done.SerializeAsString()}));
+    BOOST_TEST(!collector.add({"no-task-name", done.SerializeAsString()}));
+    BOOST_TEST(collector.finish().at(job).units_size() == 1);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace wigeon
--- a/tests/models/fleet_model.cpp
+++ b/tests/models/fleet_model.cpp
@@ -216,10 +216,13 @@
 
 bool fleet_model::is_job_done(const std::string& job) const
 {
-    const auto steps = static_cast<std::uint32_t>(this->jobs.at(job).steps_size());
-    for (std::uint32_t row = 0; row < steps; ++row) {
-        if (!this->is_step_done(job, 0, row))
-            return false;
+    const records::Submission& submission = this->jobs.at(job);
+    const auto steps = static_cast<std::uint32_t>(submission.steps_size());
+    for (std::uint32_t occurrence = 0; occurrence < std::max(1U, submission.occurrences()); ++occurrence) {
+        for (std::uint32_t row = 0; row < steps; ++row) {
+            if (!this->is_step_done(job, occurrence, row))
+                return false;
+        }
     }
     return true;
 }
--- a/tests/node/leader_test.cpp
+++ b/tests/node/leader_test.cpp
@@ -1,8 +1,11 @@
 // One term of leadership on a scripted store, with executors that only answer polls.
 
+#include <algorithm>
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <boost/asio/steady_timer.hpp>
@@ -11,6 +14,7 @@
 #include "jobs/job_keys.h"
 #include "models/scripted_store.h"
 #include "node/leader.h"
+#include "store/append_limits.h"
 
 namespace wigeon {
 
@@ -108,14 +112,52 @@
         this->store.model.append(std::string(topic), records, {});
     }
 
-    // Fails instead of waiting for ever when the condition does not come to hold.
-    void run_until(const std::function<bool()>& is_done)
+    // Fails instead of waiting for ever when the condition does not come to hold. Returns the longest time between two
+    // turns of the event loop.
+    milliseconds run_until(const std::function<bool()>& is_done)
     {
-        const boot_time give_up_at = boot_clock::now() + milliseconds(20'000);
+        boot_time now = boot_clock::now();
+        const boot_time give_up_at = now + milliseconds(20'000);
+        milliseconds longest{0};
         this->loop.restart();
-        while (!is_done() && boot_clock::now() < give_up_at && this->loop.run_one() > 0)
-            continue;
+        while (!is_done() && now<give_up_at&& this->loop.run_one()> 0) {
+            const boot_time before = std::exchange(now, boot_clock::now());
+            longest = std::max(longest, now - before);
+        }
         BOOST_REQUIRE(is_done());
+        return longest;
+    }
+
+    // A schedule of which all tasks but those of the last occurrence have ended, as a former leader recorded it.
+    void add_large_job(std::uint32_t occurrences, std::uint32_t tasks)
+    {
+        records::Submission submission;
+        submission.set_queue("q");
+        submission.set_occurrences(occurrences);
+        submission.add_steps()->set_count(tasks);
+        this->add_record(jobs_topic, "job", submission.SerializeAsString());
+        records::JobState running;
+        running.set_phase(records::JOB_PHASE_RUNNING);
+        this->add_record(states_topic, "job", running.SerializeAsString());
+        records::RecordFormat format;
+        format.set_version(1);
+        this->add_record(states_topic, std::string(format_key), format.SerializeAsString());
+        records::UnitRecord done;
+        done.mutable_progress()->set_done(true);
+        std::vector<keyed_record> units;
+        for (std::uint32_t row = 0; row < (occurrences - 1) * tasks; ++row)
+            units.push_back({make_task_name("job", {row / tasks, 0, row % tasks}), done.SerializeAsString()});
+        for (std::span<const keyed_record> left = units; !left.empty();) {
+            const auto batch = take_append(left, this->store.limits());
+            this->store.model.append(std::string(units_topic), batch, {});
+            left = left.subspan(batch.size());
+        }
+    }
+
+    [[nodiscard]] bool has_renewed_a_lease() const
+    {
+        return std::any_of(this->executors.polls.begin(), this->executors.polls.end(),
+                           [](const poll_request& request) { return request.lease_deadline.has_value(); });
     }
 
     void start_leader(std::uint64_t term)
@@ -146,6 +188,37 @@
     }
 }
 
+BOOST_AUTO_TEST_SUITE(a_takeover)
+
+// Guards against a restoration whose time grows with the square of a job's tasks (review case 7): the new leader sent
+// no heartbeat for seconds and was replaced, again and again.
+BOOST_FIXTURE_TEST_CASE(of_a_job_with_many_records_leaves_time_for_heartbeats, leader_fixture)
+{
+    constexpr milliseconds leader_timeout{1'600};
+    this->store.page_size = 500;
+    this->add_large_job(10'000, 11);
+    this->start_leader(0);
+    BOOST_TEST(this->run_until([&] { return this->current->is_leading(); }).count() < leader_timeout.count());
+    BOOST_TEST(!this->end.has_value());
+}
+
+// Guards against running tasks whose leases end while a new leader still reads what is recorded of them.
+BOOST_FIXTURE_TEST_CASE(that_takes_long_keeps_the_running_tasks_alive, leader_fixture)
+{
+    this->add_large_job(2, 1);
+    this->start_leader(0);
+    this->run_until([&] { return this->store.append_calls > 3U; }); // The first heartbeat.
+    this->store.read_fault = store_fault::unreachable;
+    this->run_until([&] { return this->has_renewed_a_lease(); });
+    BOOST_TEST(!this->current->is_leading());
+    this->store.read_fault = store_fault::none;
+    this->run_until([&] { return this->current->is_leading(); });
+    const std::size_t polls = this->executors.polls.size();
+    this->run_until([&] { return this->executors.polls.size() > polls + 1; }); // Polling has begun.
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace wigeon
--- a/tests/node/progress_recorder_test.cpp
+++ b/tests/node/progress_recorder_test.cpp
@@ -77,10 +77,10 @@
         return keys;
     }
 
-    unit_progress_map load_units()
+    unit_progress_map load_units(const node_state& state)
     {
         asio_scheduler scheduler(this->loop);
-        const auto loader = std::make_shared<unit_loader>(scheduler, this->store);
+        const auto loader = std::make_shared<unit_loader>(scheduler, this->store, state.jobs());
         std::optional<unit_progress_map> loaded;
         loader->start([&](unit_progress_map progress) { loaded = std::move(progress); });
         this->run_until([&] { return loaded.has_value(); });
@@ -149,8 +149,9 @@
     for (std::uint32_t row = 0; row < unit_count; ++row)
         removed.units.push_back({make_task_name("5c0e7a21d94b0100", {row, 0, 0}), std::nullopt});
     std::optional<progress_outcome> outcome;
-    BOOST_TEST(
-        recorder->record({}, std::move(removed), false, this->now, [&](progress_outcome result) { outcome = result; }));
+    const bool is_recording =
+        recorder->record({}, std::move(removed), false, this->now, [&](progress_outcome result) { outcome = result; });
+    BOOST_TEST(is_recording);
     this->run_until([&] { return outcome.has_value(); });
     BOOST_TEST((*outcome == progress_outcome::done));
     BOOST_TEST(this->store.model.read(std::string(units_topic), 0, 1).end == unit_count);
@@ -172,7 +173,7 @@
     BOOST_TEST(other->has_unit_records());
     BOOST_TEST(other->jobs().find("completed")->is_final());
     BOOST_TEST(other->jobs().find("running")->progress.phase() == records::JOB_PHASE_RUNNING);
-    const unit_progress_map loaded = this->load_units();
+    const unit_progress_map loaded = this->load_units(*other);
     BOOST_REQUIRE(loaded.size() == 1U); // The units of the completed job are not needed.
     const records::JobProgress& units = loaded.at("running");
     BOOST_REQUIRE(units.units_size() == 2);
