An overdue schedule opens as much work as the fleet can run, a part at a time

Cause: one round opened all due occurrences with all their units, and searched all units of the job for each occurrence; each successor of the leader did the same.

Ruled out: records and appends, as the first round never came to them.

Why this works: a job opens due occurrences and ready steps in order, and only while fewer than 1,000 of its units wait and fewer than 10,000 are unfinished; each round opens more as units are placed. Nothing is refused, and running units do not count against the 1,000, so the fleet is filled.

--- a/libraries/dispatch/job_run.cpp
+++ b/libraries/dispatch/job_run.cpp
@@ -56,6 +56,11 @@
     this->occurrences_added = std::max(this->occurrences_added, count);
 }
 
+bool job_run::may_open_more() const
+{
+    return this->waiting_count < max_waiting_units && this->unfinished_units < max_unfinished_units;
+}
+
 void job_run::open_step(step_run& step)
 {
     if (std::exchange(step.is_open, true))
@@ -83,7 +88,7 @@
 void job_run::open_ready_steps(boot_time now)
 {
     std::size_t opened = 0;
-    while (opened < this->ready_steps.size()) {
+    while (opened < this->ready_steps.size() && this->may_open_more()) {
         step_run& step = this->steps[this->ready_steps[opened++]];
         this->open_step(step);
         this->enqueue_units(step, now);
@@ -94,10 +99,11 @@
 void job_run::open_due_work(std::uint64_t wall_ms, boot_time now)
 {
     this->open_ready_steps(now);
-    while (this->occurrences_added < this->occurrence_count()) {
+    const auto step_count = static_cast<std::size_t>(this->submission.steps_size());
+    while (this->occurrences_added < this->occurrence_count() && this->ready_steps.empty() && this->may_open_more()) {
         const std::int64_t due = this->submission.first_due_ms() +
                                  static_cast<std::int64_t>(this->occurrences_added) * this->submission.interval_ms();
-        if (static_cast<std::int64_t>(wall_ms) < due)
+        if (static_cast<std::int64_t>(wall_ms) < due || this->steps.size() + step_count > max_open_steps)
             return;
         const std::uint32_t occurrence = this->occurrences_added;
         this->add_occurrence(occurrence);
--- a/libraries/dispatch/job_run.h
+++ b/libraries/dispatch/job_run.h
@@ -81,9 +81,14 @@
     std::vector<std::uint32_t> waiting; // Units to be placed, when ready.
 };
 
-// Occurrences are added when they are due, and the units of a step once the steps before it are done. A finished
-// occurrence keeps no steps and units. So a job's memory, and the cost of a round, depend on the work that is open and
-// not on all the work that the job consists of.
+// What one job holds open at a time, apart from the units of the step that reaches the limit.
+constexpr std::size_t max_waiting_units = 1'000;     // Not placed.
+constexpr std::size_t max_unfinished_units = 10'000; // Waiting or placed.
+constexpr std::size_t max_open_steps = 20'000;       // Of occurrences that are not finished.
+
+// Occurrences are added when they are due, and the units of a step once the steps before it are done; both in order and
+// only as far as the limits allow. A finished occurrence keeps no steps and units. So a job's memory, and the cost of a
+// round, depend on the work that is open and not on all the work that the job consists of.
 //
 // Invariant: a row number belongs to the same unit, or step, throughout the job's life.
 struct job_run {
@@ -120,10 +125,10 @@
     // Adds the occurrences of which the progress has units, and the only one of a job that runs once.
     void add_begun_occurrences(const records::JobProgress& progress);
 
-    // Adds the occurrences that are due by the wall clock, and opens ready steps.
+    // Adds the occurrences that are due by the wall clock, and opens ready steps, as far as the limits allow.
     void open_due_work(std::uint64_t wall_ms, boot_time now);
 
-    // Marks the steps whose earlier steps are done as ready, and opens them.
+    // Marks the steps whose earlier steps are done as ready, and opens them as far as the limits allow.
     void mark_ready_steps(std::uint32_t occurrence, boot_time now);
 
     // The unit waits for placement, or no longer does.
@@ -190,6 +195,7 @@
     {
         return this->steps.block(occurrence * static_cast<std::uint32_t>(this->submission.steps_size()));
     }
+    [[nodiscard]] bool may_open_more() const;
     void open_step(step_run& step);
     void enqueue_units(step_run& step, boot_time now);
     void open_ready_steps(boot_time now);
--- a/tests/dispatch/large_job_test.cpp
+++ b/tests/dispatch/large_job_test.cpp
@@ -154,6 +154,52 @@
 
 BOOST_AUTO_TEST_SUITE(large_job_story)
 
+// Guards against a round whose cost and memory grow with all occurrences that are due (review case 9): a million tasks
+// of one job were opened at once, each occurrence with a search through all before it, and no node got to the end.
+BOOST_AUTO_TEST_SUITE(an_overdue_schedule)
+
+BOOST_FIXTURE_TEST_CASE(of_a_million_tasks_begins_at_once_and_opens_what_the_fleet_can_run, large_job_fixture)
+{
+    this->submit("job", 10'000, {100});
+    this->run_round();
+    BOOST_TEST(this->starts.size() == static_cast<std::size_t>(executor_count * cores_per_executor));
+    for (int round = 0; round < 20; ++round)
+        this->run_round();
+    BOOST_TEST(this->starts.size() == static_cast<std::size_t>(21 * executor_count * cores_per_executor));
+    BOOST_TEST(this->most_units < 2'000U);
+}
+
+BOOST_FIXTURE_TEST_CASE(runs_each_task_once_and_leaves_no_record, large_job_fixture)
+{
+    this->submit("job", 1'500, {2, 5});
+    this->run_until_ended("job");
+    BOOST_TEST(this->has_run_each_task_once(10'500));
+    BOOST_TEST(this->units.empty());
+    BOOST_TEST(this->most_units < 2'000U);
+}
+
+// As many tasks in many jobs as in one.
+BOOST_FIXTURE_TEST_CASE(beside_others_like_it_is_opened_no_further_than_alone, large_job_fixture)
+{
+    for (int row = 0; row < 10; ++row)
+        this->submit("job" + std::to_string(row), 10'000, {100});
+    for (int round = 0; round < 20; ++round)
+        this->run_round();
+    BOOST_TEST(this->starts.size() == static_cast<std::size_t>(20 * executor_count * cores_per_executor));
+    BOOST_TEST(this->most_units < 2'000U);
+}
+
+BOOST_FIXTURE_TEST_CASE(whose_step_waits_for_an_earlier_one_holds_no_units_of_it_before, large_job_fixture)
+{
+    this->submit("job", 10'000, {1, 9'000});
+    this->run_round();
+    BOOST_TEST(this->most_units <= 1'001U);
+    this->run_round();
+    BOOST_TEST(this->most_units <= 11'000U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 // Guards against a takeover whose memory and time grow with all tasks that have ended (review case 7).
 BOOST_AUTO_TEST_SUITE(a_new_leader)
 
