A step that can't be placed does not hold back the others of an overdue schedule

Callers would see: a schedule whose first step waits for executors (here a label that none has) stops after its first occurrences, though its other step could run.

Cause: the limit on waiting units and the list of steps to open were one for the whole job, so 1,000 units of the one step used them up.

Why this works: each step has an equal part of the limit and a list of its own, and occurrences are added as long as any step without predecessors can take more; the limit on open steps bounds what gathers behind the step that waits.

--- a/libraries/dispatch/job_run.cpp
+++ b/libraries/dispatch/job_run.cpp
@@ -14,7 +14,7 @@
     : id(std::move(job_id)), submission(accepted), policy(queue), arrived_at(now)
 {
     for (const records::Step& step : this->submission.steps()) {
-        this->step_offsets.push_back(this->units_per_occurrence);
+        this->step_queues.push_back({this->units_per_occurrence, {}, 0});
         this->units_per_occurrence += count_units(step);
     }
 }
@@ -31,7 +31,7 @@
         added[step].row = first_row + step;
         added[step].occurrence = occurrence;
         added[step].step = step;
-        added[step].first_unit = occurrence * this->units_per_occurrence + this->step_offsets[step];
+        added[step].first_unit = occurrence * this->units_per_occurrence + this->step_queues[step].first_unit;
         added[step].unit_count = count_units(this->submission.steps(static_cast<int>(step)));
         added[step].units_left = added[step].unit_count;
     }
@@ -56,9 +56,24 @@
     this->occurrences_added = std::max(this->occurrences_added, count);
 }
 
-bool job_run::may_open_more() const
+bool job_run::may_open(std::size_t step) const
 {
-    return this->waiting_count < max_waiting_units && this->unfinished_units < max_unfinished_units;
+    const std::size_t max_waiting = std::max<std::size_t>(max_waiting_units / this->step_queues.size(), 1);
+    return this->step_queues[step].waiting_units < max_waiting && this->unfinished_units < max_unfinished_units;
+}
+
+// A step that can't be placed now must not keep the other steps from their further occurrences. Steps that depend on
+// others get work through these.
+bool job_run::may_add_occurrence() const
+{
+    if (this->steps.size() + this->step_queues.size() > max_open_steps)
+        return false;
+    for (std::size_t step = 0; step < this->step_queues.size(); ++step) {
+        const bool is_first = this->submission.steps(static_cast<int>(step)).after().empty();
+        if (is_first && this->step_queues[step].ready.empty() && this->may_open(step))
+            return true;
+    }
+    return false;
 }
 
 void job_run::open_step(step_run& step)
@@ -87,23 +102,25 @@
 
 void job_run::open_ready_steps(boot_time now)
 {
-    std::size_t opened = 0;
-    while (opened < this->ready_steps.size() && this->may_open_more()) {
-        step_run& step = this->steps[this->ready_steps[opened++]];
-        this->open_step(step);
-        this->enqueue_units(step, now);
+    for (std::size_t step = 0; step < this->step_queues.size(); ++step) {
+        std::vector<std::uint32_t>& ready = this->step_queues[step].ready;
+        std::size_t opened = 0;
+        while (opened < ready.size() && this->may_open(step)) {
+            step_run& run = this->steps[ready[opened++]];
+            this->open_step(run);
+            this->enqueue_units(run, now);
+        }
+        ready.erase(ready.begin(), ready.begin() + static_cast<std::ptrdiff_t>(opened));
     }
-    this->ready_steps.erase(this->ready_steps.begin(), this->ready_steps.begin() + static_cast<std::ptrdiff_t>(opened));
 }
 
 void job_run::open_due_work(std::uint64_t wall_ms, boot_time now)
 {
     this->open_ready_steps(now);
-    const auto step_count = static_cast<std::size_t>(this->submission.steps_size());
-    while (this->occurrences_added < this->occurrence_count() && this->ready_steps.empty() && this->may_open_more()) {
+    while (this->occurrences_added < this->occurrence_count() && this->may_add_occurrence()) {
         const std::int64_t due = this->submission.first_due_ms() +
                                  static_cast<std::int64_t>(this->occurrences_added) * this->submission.interval_ms();
-        if (static_cast<std::int64_t>(wall_ms) < due || this->steps.size() + step_count > max_open_steps)
+        if (static_cast<std::int64_t>(wall_ms) < due)
             return;
         const std::uint32_t occurrence = this->occurrences_added;
         this->add_occurrence(occurrence);
@@ -125,7 +142,7 @@
         if (step.is_open)
             this->enqueue_units(step, now);
         else
-            this->ready_steps.push_back(step.row);
+            this->step_queues[step.step].ready.push_back(step.row);
     }
     this->open_ready_steps(now);
 }
@@ -133,21 +150,25 @@
 void job_run::add_waiting(work_unit& unit, boot_time now)
 {
     unit.waiting_since = now;
-    this->steps[unit.step_row].waiting.push_back(unit.row);
-    ++this->waiting_count;
+    step_run& step = this->steps[unit.step_row];
+    step.waiting.push_back(unit.row);
+    ++this->step_queues[step.step].waiting_units;
 }
 
 void job_run::remove_waiting(const work_unit& unit)
 {
-    this->waiting_count -= std::erase(this->steps[unit.step_row].waiting, unit.row);
+    step_run& step = this->steps[unit.step_row];
+    this->step_queues[step.step].waiting_units -= std::erase(step.waiting, unit.row);
 }
 
 void job_run::clear_waiting()
 {
     for (step_run& step : this->steps)
         step.waiting.clear();
-    this->ready_steps.clear();
-    this->waiting_count = 0;
+    for (step_queue& queue : this->step_queues) {
+        queue.ready.clear();
+        queue.waiting_units = 0;
+    }
 }
 
 bool job_run::finish(work_unit& unit)
@@ -244,7 +265,7 @@
         return keys;
     const std::uint32_t occurrence = boost::icl::first(this->finished_occurrences);
     this->finished_occurrences.erase(occurrence);
-    for (std::uint32_t step = 0; step < this->step_offsets.size(); ++step) {
+    for (std::uint32_t step = 0; step < this->step_queues.size(); ++step) {
         const std::uint32_t count = count_units(this->submission.steps(static_cast<int>(step)));
         for (std::uint32_t index = 0; index < count; ++index)
             keys.push_back(make_task_name(this->id, {occurrence, step, index}));
--- a/libraries/dispatch/job_run.h
+++ b/libraries/dispatch/job_run.h
@@ -82,7 +82,7 @@
 };
 
 // What one job holds open at a time, apart from the units of the step that reaches the limit.
-constexpr std::size_t max_waiting_units = 1'000;     // Not placed.
+constexpr std::size_t max_waiting_units = 1'000;     // Not placed; each step has an equal part.
 constexpr std::size_t max_unfinished_units = 10'000; // Waiting or placed.
 constexpr std::size_t max_open_steps = 20'000;       // Of occurrences that are not finished.
 
@@ -195,18 +195,24 @@
     {
         return this->steps.block(occurrence * static_cast<std::uint32_t>(this->submission.steps_size()));
     }
-    [[nodiscard]] bool may_open_more() const;
+    [[nodiscard]] bool may_open(std::size_t step) const;
+    [[nodiscard]] bool may_add_occurrence() const;
     void open_step(step_run& step);
     void enqueue_units(step_run& step, boot_time now);
     void open_ready_steps(boot_time now);
 
-    std::vector<std::uint32_t> step_offsets; // Of each step's first unit from that of its occurrence.
+    // All occurrences of one step.
+    struct step_queue {
+        std::uint32_t first_unit = 0;     // Counted from the first unit of an occurrence.
+        std::vector<std::uint32_t> ready; // Rows of ready steps that are not open, in the order of opening.
+        std::size_t waiting_units = 0;    // In the lists of the open ones.
+    };
+
+    std::vector<step_queue> step_queues; // By step of the submission.
     std::uint32_t units_per_occurrence = 0;
-    std::vector<std::uint32_t> ready_steps; // Rows of ready steps that are not open, in the order of opening.
-    std::vector<std::uint32_t> completed;   // Occurrences whose units are all done.
-    std::size_t unfinished_steps = 0;       // With units that are not done.
-    std::size_t unfinished_units = 0;       // Of open steps, not done.
-    std::size_t waiting_count = 0;          // In the lists of all steps.
+    std::vector<std::uint32_t> completed; // Occurrences whose units are all done.
+    std::size_t unfinished_steps = 0;     // With units that are not done.
+    std::size_t unfinished_units = 0;     // Of open steps, not done.
 };
 
 inline resources find_task_resources(const records::Step& step)
--- a/libraries/node/leader.cpp
+++ b/libraries/node/leader.cpp
@@ -274,6 +274,7 @@
     this->state.begin_leading(*this);
     // What was read while the jobs were restored.
     this->job_dispatcher.set_policy(*this->state.policy());
+    this->sessions->handle_pool_change(now);
     std::size_t open_jobs = 0;
     for (const auto& [id, job] : this->state.jobs().all()) {
         open_jobs += job.submission && !job.is_final() ? 1 : 0;
--- a/tests/dispatch/large_job_test.cpp
+++ b/tests/dispatch/large_job_test.cpp
@@ -83,6 +83,11 @@
             step.set_cpu_millicores(1'000);
             step.set_estimate_ms(100);
         }
+        this->submit(id, submission);
+    }
+
+    void submit(const std::string& id, const records::Submission& submission)
+    {
         this->submissions[id] = submission;
         this->jobs.apply_submission_record({id, submission.SerializeAsString()}, this->now);
         this->leader->add_job(id, submission, {}, 0, this->now);
@@ -198,6 +203,25 @@
     BOOST_TEST(this->most_units <= 11'000U);
 }
 
+// Guards against units that can't be placed and use up what a job may hold open.
+BOOST_FIXTURE_TEST_CASE(with_a_step_that_can_not_run_goes_on_with_the_others, large_job_fixture)
+{
+    records::Submission submission;
+    submission.set_queue("q");
+    submission.set_occurrences(3'000);
+    for (const char* label : {"missing", ""}) {
+        records::Step& step = *submission.add_steps();
+        step.set_count(2);
+        step.set_cpu_millicores(1'000);
+        step.set_required_label(label);
+    }
+    this->submit("job", submission);
+    for (int round = 0; round < 40; ++round)
+        this->run_round();
+    BOOST_TEST(this->starts.size() == 6'000U);
+    BOOST_TEST(this->most_units < 8'000U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 // Guards against a takeover whose memory and time grow with all tasks that have ended (review case 7).
