Starts and stops of many tasks are sent a part at a time

Callers would see: when much work can start at once, or a large job is cancelled, the leader sends thousands of calls in one turn of its event loop, and heartbeats, polls and answers wait for it.

Cause: a round placed all that fits, and all stops that were due were sent together.

Why this works: a round places 256 tasks at most, and one turn sends 256 stops at most; the next round follows within milliseconds.

Tests: on_an_idle_fleet_is_started_a_part_at_a_time failed with 8,192 starts of one round without the limit; stops_a_large_job_a_part_at_a_time covers the stops. tasks_that_fill_and_tasks_that_serve_keep_apart has 600 tasks and runs three rounds now, so that all of them are placed as before.

--- a/libraries/dispatch/dispatcher.cpp
+++ b/libraries/dispatch/dispatcher.cpp
@@ -19,6 +19,10 @@
 constexpr std::size_t append_byte_limit = 1'000'000;
 constexpr std::size_t removal_byte_limit = 400'000;
 
+// A round places no further unit above this number of tasks, since the starts of all are sent in one turn of the event
+// loop. The next round follows within milliseconds.
+constexpr std::size_t max_placed_per_round = 256;
+
 // While much of the fleet is idle, a unit waits at most this long for the executors that suit it best. Users allow
 // 3 s.
 constexpr milliseconds relaxed_placement_wait{2'000};
@@ -205,7 +209,7 @@
     return executors;
 }
 
-// Places the step's waiting units in order until one does not fit.
+// Places the step's waiting units in order until one does not fit or the round has placed enough.
 void dispatcher::place_step(const waiting_step& waiting, boot_time now)
 {
     const std::vector<std::uint32_t> units = waiting.job->steps[waiting.step_row].waiting;
@@ -214,9 +218,11 @@
     std::size_t placed = 0;
     std::uint32_t highest_run = 0;
     for (const std::uint32_t unit_row : units) {
-        const auto chosen = this->place_unit(waiting, unit_row, now);
+        const auto chosen =
+            this->placed_in_round < max_placed_per_round ? this->place_unit(waiting, unit_row, now) : std::nullopt;
         if (!chosen)
             break;
+        this->placed_in_round += chosen->size();
         highest_run = std::max(highest_run, waiting.job->units[unit_row].run);
         placed += chosen->size();
         for (const std::string& id : *chosen)
@@ -292,8 +298,12 @@
     this->unplaced_needs.clear();
     this->advice.begin_round();
     this->preemption.begin_round();
-    for (const waiting_step& waiting : this->pending_work.list(this->tracker, now))
+    this->placed_in_round = 0;
+    for (const waiting_step& waiting : this->pending_work.list(this->tracker, now)) {
+        if (this->placed_in_round >= max_placed_per_round)
+            break;
         this->place_step(waiting, now);
+    }
 }
 
 // Returns false when changed jobs are left for the next append.
--- a/libraries/dispatch/dispatcher.h
+++ b/libraries/dispatch/dispatcher.h
@@ -5,6 +5,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <limits>
 #include <optional>
 #include <set>
 #include <string>
@@ -117,7 +118,10 @@
     // Called when the changes are in the store. Returns the start orders that are still wanted.
     std::vector<start_order> confirm_changes(const dispatch_changes& changes, boot_time now);
 
-    std::vector<stop_order> collect_stops(boot_time now) { return this->tracker.collect_stops(now); }
+    std::vector<stop_order> collect_stops(boot_time now, std::size_t limit = std::numeric_limits<std::size_t>::max())
+    {
+        return this->tracker.collect_stops(now, limit);
+    }
 
     [[nodiscard]] executor_registry& executors() { return this->registry; }
     [[nodiscard]] const executor_registry& executors() const { return this->registry; }
@@ -160,6 +164,7 @@
     work_queue pending_work;
     advice_broker advice;
     std::vector<placement_need> unplaced_needs; // Did not fit in this round.
+    std::size_t placed_in_round = 0;            // Tasks.
     dispatch_events events;
     preemptor preemption;
     std::optional<boot_time> stalls_checked_at;
--- a/libraries/dispatch/run_tracker.cpp
+++ b/libraries/dispatch/run_tracker.cpp
@@ -3,6 +3,7 @@
 #include "dispatch/run_tracker.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "jobs/job_table.h"
@@ -439,12 +440,17 @@
     }
 }
 
-std::vector<stop_order> run_tracker::collect_stops(boot_time now)
+std::vector<stop_order> run_tracker::collect_stops(boot_time now, std::size_t limit)
 {
-    std::vector<stop_order> orders = std::move(this->orphan_stops);
-    this->orphan_stops.clear();
+    const auto orphans_end =
+        this->orphan_stops.begin() + static_cast<std::ptrdiff_t>(std::min(limit, this->orphan_stops.size()));
+    std::vector<stop_order> orders(std::make_move_iterator(this->orphan_stops.begin()),
+                                   std::make_move_iterator(orphans_end));
+    this->orphan_stops.erase(this->orphan_stops.begin(), orphans_end);
     for (const auto& [executor_id, references] : this->index.all()) {
         for (const task_reference& reference : references) {
+            if (orders.size() >= limit)
+                return orders;
             job_run* job = nullptr;
             work_unit* unit = nullptr;
             placed_task* task = this->find_task(reference, job, unit);
--- a/libraries/dispatch/run_tracker.h
+++ b/libraries/dispatch/run_tracker.h
@@ -6,7 +6,9 @@
 
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <span>
 #include <string>
@@ -53,8 +55,8 @@
     void resolve_previous_incarnations(std::string_view executor_id, std::uint64_t new_incarnation_ms, boot_time now);
     void resolve_expired(boot_time now);
 
-    // Returns the stops to send now and marks them as in flight.
-    std::vector<stop_order> collect_stops(boot_time now);
+    // Returns the stops to send now, at most `limit`, and marks them as in flight.
+    std::vector<stop_order> collect_stops(boot_time now, std::size_t limit = std::numeric_limits<std::size_t>::max());
 
     [[nodiscard]] std::map<std::string, job_run, std::less<>>& jobs() { return this->jobs_by_id; }
     [[nodiscard]] const std::map<std::string, job_run, std::less<>>& jobs() const { return this->jobs_by_id; }
--- a/libraries/node/executor_sessions.cpp
+++ b/libraries/node/executor_sessions.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <set>
 #include <utility>
+#include <vector>
 
 #include "base/logging.h"
 #include "base/metrics.h"
@@ -29,6 +30,9 @@
 // Interval of the renewals of a leader that is not polling yet. A lease lasts several times as long.
 constexpr milliseconds lease_renewal_interval{1'000};
 
+// Stops that one turn of the event loop sends, so that polls and heartbeats never wait long for it.
+constexpr std::size_t max_stops_per_turn = 256;
+
 // Added to the longest time of a stop: the margin that run_tracker requires, and a little for timers.
 constexpr milliseconds stop_check_margin{60};
 
@@ -304,7 +308,10 @@
 {
     if (!this->is_active)
         return;
-    for (const stop_order& order : this->job_dispatcher.collect_stops(now)) {
+    const std::vector<stop_order> orders = this->job_dispatcher.collect_stops(now, max_stops_per_turn);
+    if (orders.size() == max_stops_per_turn)
+        this->event_listener.handle_change(); // Leads to the next round, which sends the others.
+    for (const stop_order& order : orders) {
         const executor* known_executor = this->job_dispatcher.executors().find(order.executor);
         if (known_executor == nullptr) {
             this->job_dispatcher.handle_stop_answer(order, false, now);
--- a/tests/dispatch/dispatcher_test.cpp
+++ b/tests/dispatch/dispatcher_test.cpp
@@ -203,7 +203,8 @@
     this->decide(); // In an earlier round than the tasks below.
     add_sharing("filling", 300, true);
     add_sharing("serving2", 300, false);
-    this->decide();
+    for (int round = 0; round < 3; ++round) // Each places a limited number.
+        this->decide();
     const auto filled = list_executors("filling");
     BOOST_TEST(!filled.empty());
     for (const char* id : {"serving", "serving2"}) {
--- a/tests/dispatch/large_job_test.cpp
+++ b/tests/dispatch/large_job_test.cpp
@@ -33,6 +33,7 @@
     std::map<std::string, std::uint64_t> end_counts;      // By executor.
     std::map<std::string, int> starts;                    // By task.
     std::size_t most_units = 0;                           // Held by the leader for one job at one time.
+    std::size_t most_starts = 0;                          // Of one round.
 
     large_job_fixture() { this->start_leader(); }
 
@@ -133,6 +134,7 @@
             this->most_units = std::max(this->most_units, job.units.size());
         const dispatch_changes changes = this->leader->collect_changes();
         this->record(changes);
+        this->most_starts = std::max(this->most_starts, changes.starts.size());
         for (const start_order& order : this->leader->confirm_changes(changes, this->now)) {
             ++this->starts[order.task];
             this->runs[order.executor].push_back(order);
@@ -203,6 +205,22 @@
     BOOST_TEST(this->most_units <= 11'000U);
 }
 
+// Guards against a turn of the event loop that sends thousands of starts. Each takes some 0.1 ms of a whole core.
+BOOST_FIXTURE_TEST_CASE(on_an_idle_fleet_is_started_a_part_at_a_time, large_job_fixture)
+{
+    for (int row = 0; row < executor_count; ++row) {
+        executor_entry entry = this->leader->executors().find("e" + std::to_string(row))->entry;
+        entry.capacity.cpu_millicores *= 32;
+        this->leader->update_executor(entry, this->now);
+    }
+    for (int row = 0; row < 10; ++row)
+        this->submit("job" + std::to_string(row), 10'000, {100});
+    for (int round = 0; round < 20; ++round)
+        this->run_round();
+    BOOST_TEST(this->starts.size() == 20U * 256U);
+    BOOST_TEST(this->most_starts <= 256U);
+}
+
 // Guards against units that can't be placed and use up what a job may hold open.
 BOOST_FIXTURE_TEST_CASE(with_a_step_that_can_not_run_goes_on_with_the_others, large_job_fixture)
 {
--- a/tests/dispatch/run_tracker_test.cpp
+++ b/tests/dispatch/run_tracker_test.cpp
@@ -393,6 +393,23 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(a_cancellation)
+
+// Guards against a turn of the event loop that sends thousands of stops, after a large job was cancelled.
+BOOST_FIXTURE_TEST_CASE(stops_a_large_job_a_part_at_a_time, tracker_fixture)
+{
+    job_run& job = this->add_job(10, false);
+    for (std::uint32_t row = 0; row < 10; ++row)
+        this->place(job, row, {row % 2 == 0 ? "e1" : "e2"});
+    this->tracker.cancel("job", this->now);
+    BOOST_TEST(this->tracker.collect_stops(this->now, 4).size() == 4U);
+    BOOST_TEST(this->tracker.collect_stops(this->now, 4).size() == 4U);
+    BOOST_TEST(this->tracker.collect_stops(this->now, 4).size() == 2U);
+    BOOST_TEST(this->tracker.collect_stops(this->now, 4).empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(steps_and_occurrences)
 
 BOOST_FIXTURE_TEST_CASE(a_step_waits_for_all_tasks_of_the_earlier_one, tracker_fixture)
