A task name beyond a job's occurrences matches no unit

Cause: the row of an occurrence's first step is its number times the number of steps, in 32 bits. A reported task name with a number of about 2^31 wraps around to the row of another occurrence.

Why this works: occurrences that were not added have no steps, and records beyond the submitted number are left out.

--- a/libraries/dispatch/job_run.cpp
+++ b/libraries/dispatch/job_run.cpp
@@ -49,6 +49,7 @@
     }
     for (const records::UnitProgress& saved : progress.units())
         count = std::max(count, saved.occurrence() + 1);
+    count = std::min(count, this->occurrence_count());
     for (std::uint32_t occurrence = 0; occurrence < count; ++occurrence) {
         if (!boost::icl::contains(this->finished_occurrences, occurrence))
             this->add_occurrence(occurrence);
@@ -56,6 +57,14 @@
     this->occurrences_added = std::max(this->occurrences_added, count);
 }
 
+std::span<step_run> job_run::steps_of(std::uint32_t occurrence)
+{
+    // Names of tasks that executors report may hold any number.
+    if (occurrence >= this->occurrences_added)
+        return {};
+    return this->steps.block(occurrence * static_cast<std::uint32_t>(this->submission.steps_size()));
+}
+
 bool job_run::may_open(std::size_t step) const
 {
     const std::size_t max_waiting = std::max<std::size_t>(max_waiting_units / this->step_queues.size(), 1);
--- a/libraries/dispatch/job_run.h
+++ b/libraries/dispatch/job_run.h
@@ -191,10 +191,8 @@
     [[nodiscard]] std::uint32_t occurrence_count() const { return std::max(1U, this->submission.occurrences()); }
 
 private:
-    [[nodiscard]] std::span<step_run> steps_of(std::uint32_t occurrence)
-    {
-        return this->steps.block(occurrence * static_cast<std::uint32_t>(this->submission.steps_size()));
-    }
+    // The steps of the occurrence; none if it was not added or is finished.
+    [[nodiscard]] std::span<step_run> steps_of(std::uint32_t occurrence);
     [[nodiscard]] bool may_open(std::size_t step) const;
     [[nodiscard]] bool may_add_occurrence() const;
     void open_step(step_run& step);
--- a/libraries/node/leader.h
+++ b/libraries/node/leader.h
@@ -119,8 +119,8 @@
     bool is_resigning = false;
     bool is_resignation_in_flight = false;           // The append in flight records the resignation.
     std::optional<dispatch_changes> pending_changes; // What takes effect once the append in flight is stored.
-    unit_progress_map
-        loaded_units; // Not restored so far; while leading, of jobs that are gone: their records are removed.
+    // Not restored so far. While leading, those of jobs that are gone; their records are removed.
+    unit_progress_map loaded_units;
     std::string last_restored_job; // While preparing; jobs are restored in the order of their ids.
 };
 
--- a/tests/dispatch/large_job_test.cpp
+++ b/tests/dispatch/large_job_test.cpp
@@ -185,6 +185,19 @@
     BOOST_TEST(this->most_units < 2'000U);
 }
 
+// Guards against a task name whose occurrence wraps around to that of another task.
+BOOST_FIXTURE_TEST_CASE(has_no_task_beyond_its_occurrences, large_job_fixture)
+{
+    this->submit("job", 10, {2, 5});
+    this->run_round();
+    job_run& job = *this->leader->job_runs().find("job");
+    std::uint32_t task_row = 0;
+    BOOST_TEST(job.find_unit({1, 0, 0}, task_row) != nullptr);
+    BOOST_TEST(job.find_unit({1U + (1U << 31U), 0, 0}, task_row) == nullptr);
+    BOOST_TEST(job.find_unit({1, 0, 2}, task_row) == nullptr);
+    BOOST_TEST(job.find_unit({1, 2, 0}, task_row) == nullptr);
+}
+
 // As many tasks in many jobs as in one.
 BOOST_FIXTURE_TEST_CASE(beside_others_like_it_is_opened_no_further_than_alone, large_job_fixture)
 {
