No task is started in an evacuated availability zone

Cause: nothing read the records `evacuate/ZONE` of the operators, so leaders went on placing tasks in a zone after its evacuation.

Change: every node follows the records in the topic that it reads for the configuration. zone_evacuations holds the rule; executors of an evacuated zone are left out of the capacity table, placements that are stored but not sent yet are withdrawn as a whole, and where `evac-ms` is set nothing starts once the records were last read evac-ms less 1.2 s ago. Running work goes on. A step does not wait for data whose rack lies in the zone.

--- a/libraries/dispatch/capacity_table.cpp
+++ b/libraries/dispatch/capacity_table.cpp
@@ -15,16 +15,20 @@
 
 } // namespace
 
-void capacity_table::build(const executor_registry& registry, milliseconds max_poll_age, boot_time now)
+void capacity_table::build(const executor_registry& registry, const zone_evacuations& evacuations,
+                           milliseconds max_poll_age, boot_time now)
 {
     std::size_t quarantined = 0;
     this->accelerators = 0;
     this->entries.clear();
     this->row_by_executor.clear();
+    this->find_evacuated_racks(registry, evacuations);
     for (const auto& [id, target] : registry.all()) {
         const bool is_fresh = target.last_poll_sent_at && now - *target.last_poll_sent_at <= max_poll_age;
         if (!target.is_listed || target.entry.is_draining || !target.is_reached || !is_fresh)
             continue;
+        if (!evacuations.admits(target.entry.zone, id, now))
+            continue;
         executor_capacity entry;
         entry.executor = id;
         entry.pool = target.entry.pool;
@@ -44,6 +48,28 @@
         entry.is_quarantined = false;
 }
 
+void capacity_table::find_evacuated_racks(const executor_registry& registry, const zone_evacuations& evacuations)
+{
+    this->evacuated_racks.clear();
+    if (evacuations.all().empty())
+        return;
+    for (const auto& [id, target] : registry.all()) {
+        if (target.is_listed && evacuations.is_evacuated(target.entry.zone))
+            this->evacuated_racks.try_emplace(target.entry.rack, false);
+    }
+    for (const auto& [id, target] : registry.all()) {
+        const auto rack = this->evacuated_racks.find(target.entry.rack);
+        if (rack != this->evacuated_racks.end() && target.is_listed && !evacuations.is_evacuated(target.entry.zone))
+            rack->second = true;
+    }
+}
+
+bool capacity_table::is_rack_evacuated(std::string_view rack) const
+{
+    const auto found = this->evacuated_racks.find(rack);
+    return found != this->evacuated_racks.end() && !found->second;
+}
+
 std::optional<std::size_t> capacity_table::find_row(std::string_view executor) const
 {
     const auto found = this->row_by_executor.find(executor);
--- a/libraries/dispatch/capacity_table.h
+++ b/libraries/dispatch/capacity_table.h
@@ -16,14 +16,16 @@
 #include "dispatch/job_run.h"
 #include "dispatch/placement.h"
 #include "dispatch/run_tracker.h"
+#include "dispatch/zone_evacuations.h"
 
 namespace wigeon {
 
 class capacity_table {
 public:
-    // Lists the executors whose newest answered poll was sent at most `max_poll_age` ago. The entries hold views into
-    // the registry until the next call.
-    void build(const executor_registry& registry, milliseconds max_poll_age, boot_time now);
+    // Lists the executors whose newest answered poll was sent at most `max_poll_age` ago and to which the evacuations
+    // admit tasks. The entries hold views into the registry until the next call.
+    void build(const executor_registry& registry, const zone_evacuations& evacuations, milliseconds max_poll_age,
+               boot_time now);
 
     [[nodiscard]] std::span<const executor_capacity> all() const { return this->entries; }
     [[nodiscard]] std::optional<std::size_t> find_row(std::string_view executor) const;
@@ -37,6 +39,9 @@
     // Takes the resources for one task from each of these executors; skips executors that are not listed.
     void reserve(std::span<const std::string> executors, const resources& per_task);
 
+    // Whether the rack has executors, and all of them are in evacuated zones.
+    [[nodiscard]] bool is_rack_evacuated(std::string_view rack) const;
+
     // Whether more than half of the accelerators are free.
     [[nodiscard]] bool is_mostly_idle() const;
 
@@ -53,9 +58,13 @@
     [[nodiscard]] std::vector<executor_capacity> copy_without_exclusions() const;
 
 private:
+    void find_evacuated_racks(const executor_registry& registry, const zone_evacuations& evacuations);
+
     std::vector<executor_capacity> entries;
     std::map<std::string_view, std::size_t> row_by_executor;
     std::int64_t accelerators = 0; // Of all entries, used or not.
+    // Racks with executors in evacuated zones, and whether they have others as well. Empty while no zone is evacuated.
+    std::map<std::string_view, bool> evacuated_racks;
 };
 
 } // namespace wigeon
--- a/libraries/dispatch/dispatcher.cpp
+++ b/libraries/dispatch/dispatcher.cpp
@@ -136,7 +136,7 @@
         this->tracker.handle_stop_answer(order.reference, is_acknowledged, now);
 }
 
-placement_need dispatcher::make_need(const job_run& job, const work_unit& unit, boot_time now)
+placement_need dispatcher::make_need(const job_run& job, const work_unit& unit, boot_time now) const
 {
     const records::Step& step = job.step_of(unit);
     placement_need need;
@@ -147,7 +147,8 @@
     need.required_label = step.required_label();
     need.data_rack = step.data_rack();
     // Away from its data the task takes several times as long, so waiting for up to its own run time costs less.
-    need.may_leave_data_rack = now - unit.waiting_since > milliseconds(step.estimate_ms());
+    need.may_leave_data_rack = now - unit.waiting_since > milliseconds(step.estimate_ms()) ||
+                               this->capacities.is_rack_evacuated(need.data_rack);
     need.max_per_executor = step.tasks_per_executor();
     need.is_filling = step.filling();
     need.is_serving = step.tail_target_ms() > 0;
@@ -279,6 +280,13 @@
     }
 }
 
+void dispatcher::report_evacuations(boot_time now)
+{
+    const bool is_current = this->evacuations.is_current(now);
+    if (is_current != std::exchange(this->has_current_evacuations, is_current))
+        this->events.add(is_current ? "starts_resumed" : "starts_suspended", {}, "evacuations_current");
+}
+
 void dispatcher::decide(std::uint64_t wall_ms, boot_time now)
 {
     this->tracker.resolve_expired(now);
@@ -292,8 +300,11 @@
         this->stalls_checked_at = now;
         this->stop_stalled_units(now);
     }
+    this->report_evacuations(now);
+    if (!this->has_current_evacuations)
+        return;
     this->pending_work.count_demand(this->tracker, this->policy);
-    this->capacities.build(this->registry, this->limits.max_poll_age, now);
+    this->capacities.build(this->registry, this->evacuations, this->limits.max_poll_age, now);
     this->capacities.mark_filling_and_serving(this->tracker);
     this->unplaced_needs.clear();
     this->advice.begin_round();
@@ -411,6 +422,26 @@
     }
 }
 
+// Placements wait for their record to be stored; a zone may be evacuated meanwhile. None of a unit's tasks has been
+// ordered yet, so the whole unit waits for placement again.
+void dispatcher::withdraw_starts_in_evacuated_zones(std::span<const start_order> starts, boot_time now)
+{
+    for (const start_order& order : starts) {
+        const executor* target = this->registry.find(order.executor);
+        if (target == nullptr ||
+            (this->evacuations.is_current(now) && !this->evacuations.is_evacuated(target->entry.zone)))
+            continue;
+        job_run* job = this->tracker.find(order.reference.job);
+        work_unit* unit = job == nullptr ? nullptr : job->units.find(order.reference.unit_row);
+        if (unit == nullptr || unit->run != order.reference.run || unit->placed_tasks.empty())
+            continue;
+        this->events.add("start_withdrawn", job->id,
+                         "task=" + order.task + " run=" + std::to_string(order.reference.run) +
+                             " executor=" + order.executor);
+        this->tracker.stop_unit(*job, *unit, now);
+    }
+}
+
 std::vector<start_order> dispatcher::confirm_changes(const dispatch_changes& changes, boot_time now)
 {
     for (const dispatch_changes::recorded_ends& recorded : changes.ends) {
@@ -426,6 +457,7 @@
         if (is_final(record.phase))
             this->handle_end_stored(record.job);
     }
+    this->withdraw_starts_in_evacuated_zones(changes.starts, now);
     std::vector<start_order> wanted;
     for (const start_order& order : changes.starts) {
         if (this->tracker.mark_ordered(order.reference, now))
--- a/libraries/dispatch/dispatcher.h
+++ b/libraries/dispatch/dispatcher.h
@@ -8,6 +8,7 @@
 #include <limits>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -15,11 +16,13 @@
 #include "dispatch/advice_broker.h"
 #include "dispatch/capacity_table.h"
 #include "dispatch/dispatch_event.h"
+#include "dispatch/dispatch_options.h"
 #include "dispatch/executor_registry.h"
 #include "dispatch/placement.h"
 #include "dispatch/preemptor.h"
 #include "dispatch/run_tracker.h"
 #include "dispatch/work_queue.h"
+#include "dispatch/zone_evacuations.h"
 #include "jobs/fleet_policy.h"
 
 namespace wigeon {
@@ -34,6 +37,7 @@
     milliseconds max_lease{0};     // Length of the leases that the leader sends to executors.
     milliseconds max_stop_time{0}; // Longest time that an executor takes for a stop.
     milliseconds max_poll_age{0};  // An executor whose newest answered poll is older gets no new task.
+    dispatch_options options{};
 };
 
 // Changes to be written to the store, and the start orders that may be sent once they are stored. The records of units
@@ -79,6 +83,9 @@
 
     void set_policy(const fleet_policy& new_policy);
 
+    // The zones in which nothing may be started from now on.
+    void set_evacuations(const zone_evacuations& newest) { this->evacuations = newest; }
+
     // Must not be called after the first change was collected. The default is progress_format::per_unit.
     void set_progress_format(progress_format new_format) { this->format = new_format; }
 
@@ -133,12 +140,18 @@
     [[nodiscard]] milliseconds max_stop_time() const { return this->limits.max_stop_time; }
     [[nodiscard]] run_tracker& job_runs() { return this->tracker; }
 
+    // Number of unresolved tasks on the executor.
+    [[nodiscard]] std::size_t count_tasks_on(std::string_view executor) const
+    {
+        return this->tracker.tasks_on(executor).size();
+    }
+
     // Returns the decisions since the last call.
     std::vector<dispatch_event> take_events() { return this->events.take(); }
 
 private:
     [[nodiscard]] queue_policy find_policy(const records::Submission& submission) const;
-    static placement_need make_need(const job_run& job, const work_unit& unit, boot_time now);
+    [[nodiscard]] placement_need make_need(const job_run& job, const work_unit& unit, boot_time now) const;
     [[nodiscard]] bool is_known_not_to_fit(const placement_need& need) const;
     [[nodiscard]] std::optional<std::vector<std::size_t>> find_relaxed_places(placement_need need,
                                                                               present_counts present) const;
@@ -150,6 +163,8 @@
     [[nodiscard]] bool collect_units_of(job_run& job, dispatch_changes& changes, std::size_t& bytes);
     [[nodiscard]] bool remove_unit_records(job_run& job, dispatch_changes& changes, std::size_t& bytes);
     void handle_end_stored(std::string_view id);
+    void withdraw_starts_in_evacuated_zones(std::span<const start_order> starts, boot_time now);
+    void report_evacuations(boot_time now);
     void stop_stalled_units(boot_time now);
     void stop_if_stalled(job_run& job, work_unit& unit, boot_time now);
 
@@ -168,6 +183,8 @@
     dispatch_events events;
     preemptor preemption;
     std::optional<boot_time> stalls_checked_at;
+    zone_evacuations evacuations;
+    bool has_current_evacuations = true; // When the last round was decided.
 };
 
 } // namespace wigeon
--- a/libraries/node/document_decoder.h
+++ b/libraries/node/document_decoder.h
@@ -16,6 +16,8 @@
     std::string policy_topic;
     std::string policy_key;
     std::string executors_topic; // One key per executor.
+    // In the policy topic: the key of an availability zone's evacuation begins so and ends with the zone's name.
+    std::string evacuation_key_prefix;
 };
 
 class document_decoder {
--- a/libraries/node/leader.cpp
+++ b/libraries/node/leader.cpp
@@ -82,6 +82,7 @@
       state(shared_state),
       job_dispatcher(options.limits, boot_clock::now()),
       converts_to_unit_records(options.converts_to_unit_records),
+      max_evacuation_age(options.max_evacuation_age),
       own_term(term),
       term_started_at(boot_clock::now()),
       scheduler(loop),
@@ -346,6 +347,33 @@
     this->schedule_round(this->next_round_delay);
 }
 
+void leader::handle_evacuation_change(boot_time now)
+{
+    static_cast<void>(now);
+    this->update_evacuations();
+    this->schedule_round(milliseconds(0));
+}
+
+void leader::update_evacuations()
+{
+    zone_evacuations newest = this->state.evacuations();
+    newest.set_max_age(this->max_evacuation_age);
+    newest.set_current_as_of(this->state.policy_current_as_of());
+    this->job_dispatcher.set_evacuations(newest);
+}
+
+void leader::report_evacuated_tasks() const
+{
+    for (const auto& [zone, since] : this->state.evacuations().all()) {
+        std::size_t tasks = 0;
+        for (const auto& [id, target] : this->job_dispatcher.executors().all()) {
+            if (target.entry.zone == zone)
+                tasks += this->job_dispatcher.count_tasks_on(id);
+        }
+        process_metrics().set_gauge("wigeon_evacuated_zone_tasks{zone=\"" + zone + "\"}", static_cast<double>(tasks));
+    }
+}
+
 // The first decisions wait for most executors, up to a limit, so that their free resources are known.
 bool leader::may_decide(boot_time now) const
 {
@@ -376,6 +404,7 @@
     }
     if (!this->check_leadership(now))
         return;
+    this->update_evacuations();
     if (!this->pending_changes && !this->recorder->is_appending()) {
         if (this->may_decide(now))
             this->decide(now);
@@ -384,6 +413,7 @@
     this->query_advisor(now);
     this->sessions->send_stops(now);
     this->sweeper->sweep(now);
+    this->report_evacuated_tasks();
     this->log_events();
     if (this->stage == phase::leading && !this->is_round_scheduled) {
         this->maintenance_timer.expires_after(maintenance_interval);
@@ -456,6 +486,7 @@
         return;
     }
     this->log_ended_jobs(changes);
+    this->update_evacuations();
     for (const start_order& order : this->job_dispatcher.confirm_changes(changes, now))
         this->sessions->send_start(order);
     // These ends are in the store now; the next poll allows the executors to drop them.
--- a/libraries/node/leader.h
+++ b/libraries/node/leader.h
@@ -30,6 +30,8 @@
     milliseconds job_retention{0}; // How long callers can read a job that has ended.
     // Of a store that is not in the per-unit format yet. Only once all nodes run a build that reads it.
     bool converts_to_unit_records = false;
+    // Nothing is started while the evacuations were last read longer ago than this. None: the deployment has no limit.
+    std::optional<milliseconds> max_evacuation_age{};
 };
 
 enum class leadership_end : std::uint8_t {
@@ -61,6 +63,7 @@
 
     void handle_job_change(const std::string& job, boot_time now) override;
     void handle_policy_change(const fleet_policy& policy, boot_time now) override;
+    void handle_evacuation_change(boot_time now) override;
     void handle_change() override;
     void handle_fenced() override;
     bool check_leadership(boot_time now) override;
@@ -95,11 +98,14 @@
     void log_ended_jobs(const dispatch_changes& changes) const;
     void log_events();
     [[nodiscard]] bool may_decide(boot_time now) const;
+    void update_evacuations();
+    void report_evacuated_tasks() const;
 
     advice_service& advisor;
     node_state& state;
     dispatcher job_dispatcher;
     const bool converts_to_unit_records;
+    const std::optional<milliseconds> max_evacuation_age;
     const std::uint64_t own_term;
     const boot_time term_started_at;
     phase stage = phase::fencing;
--- a/libraries/node/node_state.cpp
+++ b/libraries/node/node_state.cpp
@@ -129,6 +129,10 @@
 
     void apply(const stored_record& record, boot_time now) override
     {
+        if (const auto zone = this->find_evacuation_zone(record.content.key)) {
+            this->state.apply_evacuation(*zone, record.content.value.has_value(), now);
+            return;
+        }
         if (record.content.key != this->state.topics.policy_key || !record.content.value)
             return;
         std::string problem;
@@ -151,7 +155,24 @@
             this->state.listener->handle_policy_change(*this->state.current_policy, now);
     }
 
+    void finish_load(const std::map<std::string, std::uint64_t, std::less<>>& keys, boot_time now) override
+    {
+        const auto known = this->state.evacuated_zones.all();
+        for (const auto& [zone, since] : known) {
+            if (!keys.contains(this->state.topics.evacuation_key_prefix + zone))
+                this->state.apply_evacuation(zone, false, now);
+        }
+    }
+
 private:
+    [[nodiscard]] std::optional<std::string_view> find_evacuation_zone(std::string_view key) const
+    {
+        const std::string& prefix = this->state.topics.evacuation_key_prefix;
+        if (prefix.empty() || !key.starts_with(prefix))
+            return std::nullopt;
+        return key.substr(prefix.size());
+    }
+
     node_state& state;
 };
 
@@ -262,6 +283,25 @@
         this->table.apply_state_record(record, now);
 }
 
+void node_state::apply_evacuation(std::string_view zone, bool is_evacuated, boot_time now)
+{
+    const std::string series = "wigeon_zone_evacuated{zone=\"" + std::string(zone) + "\"}";
+    if (is_evacuated) {
+        if (!this->evacuated_zones.begin(zone, now))
+            return;
+        log_event("zone_evacuated", {{"zone", std::string(zone)}});
+    }
+    else {
+        const auto duration = this->evacuated_zones.end(zone, now);
+        if (!duration)
+            return;
+        log_event("zone_returned", {{"zone", std::string(zone)}, {"after_ms", std::to_string(duration->count())}});
+    }
+    process_metrics().set_gauge(series, is_evacuated ? 1 : 0);
+    if (this->listener != nullptr)
+        this->listener->handle_evacuation_change(now);
+}
+
 void node_state::apply_heartbeat(std::string_view topic, const keyed_record& record)
 {
     records::LeaderBeat heartbeat;
--- a/libraries/node/node_state.h
+++ b/libraries/node/node_state.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <string_view>
 
+#include "dispatch/zone_evacuations.h"
 #include "jobs/fleet_policy.h"
 #include "jobs/job_table.h"
 #include "net/asio_scheduler.h"
@@ -34,6 +35,7 @@
         virtual ~job_listener() = default;
         virtual void handle_job_change(const std::string& job, boot_time now) = 0;
         virtual void handle_policy_change(const fleet_policy& policy, boot_time now) = 0;
+        virtual void handle_evacuation_change(boot_time now) = 0;
     };
 
     node_state(boost::asio::io_context& loop, record_store& store, const document_topics& topics,
@@ -49,6 +51,9 @@
     [[nodiscard]] const job_table& jobs() const { return this->table; }
     [[nodiscard]] const std::optional<fleet_policy>& policy() const { return this->current_policy; }
 
+    // The evacuated zones, as old as policy_current_as_of().
+    [[nodiscard]] const zone_evacuations& evacuations() const { return this->evacuated_zones; }
+
     // Whether a configuration is in force and the topics of jobs and of their progress have been loaded once.
     [[nodiscard]] bool is_loaded() const;
 
@@ -98,6 +103,7 @@
     {
         return this->uses_unit_records ? *this->states_reader : *this->progress_reader;
     }
+    void apply_evacuation(std::string_view zone, bool is_evacuated, boot_time now);
     void apply_heartbeat(std::string_view topic, const keyed_record& record);
     void observe_leader(std::size_t record_count, boot_time now);
     void restart_observation(boot_time now);
@@ -110,6 +116,7 @@
     const read_timing follower_jobs_timing;
     job_table table;
     std::optional<fleet_policy> current_policy;
+    zone_evacuations evacuated_zones;
     leader_liveness liveness;
     bool uses_unit_records = false;
     job_listener* listener = nullptr;
--- a/services/node/main.cpp
+++ b/services/node/main.cpp
@@ -35,6 +35,11 @@
 DEFINE_int32(job_retention_s, 3'600,
              "seconds for which ended jobs stay known; at least twice as long as the settings let callers ask");
 
+DEFINE_bool(place_by_speed, false,
+            "place tasks by the measured speeds of the executors while these differ; see docs/OPERATIONS.md");
+DEFINE_bool(bound_preemption, false, "limit how much work is stopped for work that no guarantee covers");
+DEFINE_bool(share_by_account, false, "while room is short, serve the accounts that use less than their share first");
+
 namespace wigeon {
 
 namespace {
@@ -67,6 +72,10 @@
 // Ended jobs are kept this many times as long as callers may ask for their state.
 constexpr int job_retention_factor = 2;
 
+// Nothing is started this long before an evacuation that this node has not read could take effect: an append and the
+// start itself lie between the decision and the executor.
+constexpr milliseconds evacuation_margin{1'200};
+
 // Keys are refused this long before a configuration change that this node has not read could take effect.
 constexpr milliseconds revocation_margin{1'200};
 
@@ -92,7 +101,13 @@
                                         ? settings.max_descriptors - reserved_descriptors
                                         : reserved_descriptors;
     options.caller_limits = {header_byte_limit, body_byte_limit, connections, caller_idle_timeout};
-    options.leading.limits = {settings.max_lease, settings.max_stop_time, max_poll_age};
+    options.leading.limits = {settings.max_lease,
+                              settings.max_stop_time,
+                              max_poll_age,
+                              {FLAGS_place_by_speed, FLAGS_bound_preemption, FLAGS_share_by_account}};
+    if (settings.evacuation_limit)
+        options.leading.max_evacuation_age =
+            std::max(*settings.evacuation_limit - evacuation_margin, evacuation_margin);
     options.leading.job_retention = std::max<milliseconds>(settings.job_state_retention * job_retention_factor,
                                                            std::chrono::seconds(FLAGS_job_retention_s));
     options.service_limits.max_policy_age = settings.revocation_limit - revocation_margin;
--- a/tests/integration/node_soak_test.cpp
+++ b/tests/integration/node_soak_test.cpp
@@ -10,7 +10,9 @@
 #include <csignal>
 #include <cstdlib>
 #include <random>
+#include <set>
 #include <thread>
+#include <utility>
 
 #include <boost/test/unit_test.hpp>
 
@@ -46,9 +48,14 @@
 public:
     soak(std::uint64_t seed, int nodes, int executors)
         : random(seed),
+          evacuation_random(seed),
           node_count(nodes),
           executor_count(executors),
-          system({.nodes = nodes, .executors = executors, .has_proxy = true, .keeps_connections = true}),
+          system({.nodes = nodes,
+                  .executors = executors,
+                  .has_proxy = true,
+                  .keeps_connections = true,
+                  .has_evacuation_limit = true}),
           is_paused(static_cast<std::size_t>(nodes), false)
     {
     }
@@ -58,6 +65,7 @@
         const auto deadline = boot_clock::now() + duration;
         while (boot_clock::now() < deadline) {
             this->inject_fault();
+            this->toggle_evacuation();
             for (int submission = 0; submission < 3; ++submission)
                 this->submit_job();
             std::this_thread::sleep_for(milliseconds(this->draw(200)));
@@ -149,6 +157,23 @@
         }
     }
 
+    // Evacuates a zone, or takes it back. Drawn apart from the faults, so that the seeds that have failed before play
+    // the same faults as then.
+    void toggle_evacuation()
+    {
+        constexpr std::uint32_t toggle_one_in = 8;
+        if (std::uniform_int_distribution<std::uint32_t>(0, toggle_one_in - 1)(this->evacuation_random) != 0)
+            return;
+        const std::string zone = (this->evacuation_random() & 1U) == 0 ? "z0" : "z1";
+        if (this->evacuated_zones.insert(zone).second) {
+            BOOST_TEST_MESSAGE("zone " << zone << " is evacuated");
+            this->system.evacuate_zone(zone);
+            return;
+        }
+        this->evacuated_zones.erase(zone);
+        this->system.return_zone(zone);
+    }
+
     void inject_link_fault()
     {
         constexpr std::array<const char*, 7> faults{"refuse",      "cut",       "freeze", "freeze_answers",
@@ -191,6 +216,8 @@
     {
         this->system.set_store_fault("none");
         this->system.clear_link_faults();
+        for (const std::string& zone : std::exchange(this->evacuated_zones, {}))
+            this->system.return_zone(zone);
         for (int node = 0; node < this->node_count; ++node) {
             if (this->is_paused[static_cast<std::size_t>(node)])
                 this->system.signal_node(node, SIGCONT);
@@ -213,11 +240,13 @@
     }
 
     std::mt19937_64 random;
+    std::mt19937_64 evacuation_random;
     const int node_count;
     const int executor_count;
     boot_time started_at = boot_clock::now();
     node_cluster system;
     std::vector<bool> is_paused;
+    std::set<std::string> evacuated_zones;
     std::map<std::string, int> outcomes; // HTTP status by job id; 504: uncertain; 0: not sent.
     int last_job = 0;
 };
--- a/tests/integration/node_test.cpp
+++ b/tests/integration/node_test.cpp
@@ -31,6 +31,18 @@
     return std::string(16 - digits.size(), '0') + digits;
 }
 
+// A gang that needs all accelerators of four executors.
+const std::string whole_fleet = R"({"count":4,"cpu":1000,"mem-mb":100,"gpu":8,"estimate-ms":300,"gang":true})";
+
+void wait_for_metric(node_cluster& system, int node, const std::string& line)
+{
+    const auto deadline = boot_clock::now() + wait_timeout;
+    while (system.read_metrics(node).find(line) == std::string::npos) {
+        BOOST_REQUIRE_MESSAGE(boot_clock::now() < deadline, "node " << node << " has no metric " << line);
+        std::this_thread::sleep_for(milliseconds(50));
+    }
+}
+
 int wait_for_leader(node_cluster& system)
 {
     const auto deadline = boot_clock::now() + wait_timeout;
@@ -55,6 +67,29 @@
 
 BOOST_AUTO_TEST_SUITE(node_story)
 
+// Guards against an evacuation that is forgotten when the leader changes: the gang needs executors of both zones, so it
+// runs only when some node starts a task in the evacuated one.
+BOOST_AUTO_TEST_CASE(an_evacuated_zone_gets_no_start_though_the_leader_is_killed)
+{
+    node_cluster system({.nodes = 3, .executors = 4, .has_evacuation_limit = true});
+    const int leader = wait_for_leader(system);
+    system.evacuate_zone("z0");
+    for (int node = 0; node < system.node_count(); ++node)
+        wait_for_metric(system, node, "wigeon_zone_evacuated{zone=\"z0\"} 1");
+    const std::string wide = make_job_id(1);
+    BOOST_TEST(system.submit(leader, wide, "batch", whole_fleet) == 200);
+    system.kill_node(leader);
+    system.start_node(leader);
+    const int next = (leader + 1) % system.node_count();
+    const std::string narrow = make_job_id(2);
+    BOOST_TEST(system.submit(next, narrow, "urgent", gang_and_tasks) == 200);
+    BOOST_TEST(system.wait_for_state(narrow, "urgent", "completed", wait_timeout));
+    BOOST_TEST(system.read_state(next, wide, "batch") == "queued");
+    system.return_zone("z0");
+    BOOST_TEST(system.wait_for_state(wide, "batch", "completed", wait_timeout));
+    check_no_violations(system);
+}
+
 BOOST_AUTO_TEST_CASE(a_job_of_two_steps_is_served_by_any_node)
 {
     node_cluster system({.nodes = 3, .executors = 4});
--- a/tests/models/fleet_model.cpp
+++ b/tests/models/fleet_model.cpp
@@ -121,6 +121,14 @@
         (now - *run.complete_since).count() * complete_percent / step->estimate_ms(), complete_percent));
 }
 
+void fleet_model::check_evacuation(const executor_state& executor, const std::string& task, boot_time now)
+{
+    const auto evacuated = this->evacuated_at.find(executor.entry.zone);
+    if (evacuated != this->evacuated_at.end() && now - evacuated->second > this->limits.max_start_after_evacuation)
+        this->violation_messages.push_back("start of " + task + " on " + executor.entry.id + " in the evacuated zone " +
+                                           executor.entry.zone);
+}
+
 order_result fleet_model::start(const start_order& order, milliseconds deadline, std::uint64_t token, boot_time now)
 {
     this->advance(now);
@@ -158,6 +166,7 @@
     this->check_step_order(order.task, *step);
     this->check_attempts(order.task);
     this->check_cancellation(order.task, now);
+    this->check_evacuation(executor, order.task, now);
     run_state run;
     run.run = order.reference.run;
     run.started_at = now;
--- a/tests/models/fleet_model.h
+++ b/tests/models/fleet_model.h
@@ -19,9 +19,10 @@
 
 struct fleet_limits {
     milliseconds max_lease{6'000};
-    milliseconds gang_timeout{3'000};           // How long a task waits for the other tasks of its gang.
-    std::uint32_t max_attempts = 3;             // Failed runs after which a task must not be started again.
-    milliseconds max_start_after_cancel{3'000}; // A cancelled job must not be started later than this.
+    milliseconds gang_timeout{3'000};               // How long a task waits for the other tasks of its gang.
+    std::uint32_t max_attempts = 3;                 // Failed runs after which a task must not be started again.
+    milliseconds max_start_after_cancel{3'000};     // A cancelled job must not be started later than this.
+    milliseconds max_start_after_evacuation{5'000}; // Nothing must be started in an evacuated zone later than this.
     std::size_t max_listed_ends = 500; // Ends in one answer to a poll; the others follow once these are acknowledged.
 };
 
@@ -39,6 +40,10 @@
     // The cancellation of the job is in the store.
     void note_cancellation(const std::string& job, boot_time now) { this->cancelled_at.try_emplace(job, now); }
 
+    // The record of the evacuation of the zone is in the store, or is removed from it.
+    void note_evacuation(const std::string& zone, boot_time now) { this->evacuated_at.try_emplace(zone, now); }
+    void note_return(const std::string& zone) { this->evacuated_at.erase(zone); }
+
     // Every run of this task, or every run on this executor until make_executor_succeed(), fails at its end.
     void make_task_fail(const std::string& task) { this->failing_tasks.insert(task); }
     void make_executor_fail(const std::string& id) { this->failing_executors.insert(id); }
@@ -113,6 +118,7 @@
         return (now - executor.clock_started_at) * executor.clock_rate / 1'000;
     }
     void end_run(executor_state& executor, const std::string& task, run_outcome outcome, boot_time now);
+    void check_evacuation(const executor_state& executor, const std::string& task, boot_time now);
     void extend_lease(executor_state& executor, milliseconds deadline, boot_time now);
     [[nodiscard]] const records::Step* find_step(const std::string& task) const;
     [[nodiscard]] std::vector<std::string> list_gang_tasks(const std::string& task) const;
@@ -138,6 +144,7 @@
     std::map<std::string, std::uint32_t> done_by_task; // By task: ends `done` of any run.
     std::map<std::string, boot_time> last_started_at;  // By task.
     std::map<std::string, boot_time> cancelled_at;     // By job.
+    std::map<std::string, boot_time> evacuated_at;     // By zone.
     std::vector<std::string> violation_messages;
     std::set<std::string> jobs_started;
     std::uint64_t start_count = 0;
--- a/tests/stand_ins/node_platform.cpp
+++ b/tests/stand_ins/node_platform.cpp
@@ -7,7 +7,8 @@
 // responses) or lost (carries out the append, no response); POST /restart?executor=ID restarts an executor, which loses
 // all its state; POST /split?count=N cuts executors, busy ones first, off from the store and from all nodes but the one
 // that leads, which is cut off from all others, until POST /join; POST /configure?without=ROUTE publishes a
-// configuration that lacks the route (without the field: with all routes); GET /report returns what the executors
+// configuration that lacks the route (without the field: with all routes); POST /evacuate?zone=Z evacuates z0 (the
+// executors of even number) or z1 until POST /return?zone=Z; GET /report returns what the executors
 // recorded: violations, starts, done tasks, started jobs.
 
 #include <csignal>
@@ -101,6 +102,7 @@
             executor_entry entry;
             entry.id = "e" + std::to_string(row);
             entry.pool = "pool";
+            entry.zone = "z" + std::to_string(row % 2);
             entry.rack = "r" + std::to_string(row / 4);
             entry.labels = {"a", entry.rack};
             entry.capacity = {64'000, 131'072, 8};
@@ -184,8 +186,8 @@
                 continue;
             }
             this->append_keyed("keyed.servers", entry.id,
-                               R"({"service":"pool","address":")" + entry.address +
-                                   R"(","zone":"z","state":"ready","born":)" + std::to_string(entry.incarnation_ms) +
+                               R"({"service":"pool","address":")" + entry.address + R"(","zone":")" + entry.zone +
+                                   R"(","state":"ready","born":)" + std::to_string(entry.incarnation_ms) +
                                    R"(,"headroom":{"cpu":64000,"mem-mb":131072,"gpu":8},"labels":["a",")" + entry.rack +
                                    "\"]}");
         }
@@ -274,6 +276,17 @@
             this->publish_policy(query.contains("without") ? query.at("without") : "");
             reply({200, "{}", 0});
         }
+        else if (path == "/evacuate") {
+            this->append_keyed("keyed.op", "evacuate/" + query.at("zone"), "{}");
+            this->fleet.note_evacuation(query.at("zone"), boot_clock::now());
+            reply({200, "{}", 0});
+        }
+        else if (path == "/return") {
+            this->store.append("keyed.op", std::vector<keyed_record>{{"evacuate/" + query.at("zone"), std::nullopt}},
+                               {});
+            this->fleet.note_return(query.at("zone"));
+            reply({200, "{}", 0});
+        }
         else if (path == "/report")
             reply({200, this->make_report(), 0});
         else if (this->fault == "refuse")
--- a/tests/support/node_cluster.cpp
+++ b/tests/support/node_cluster.cpp
@@ -171,7 +171,7 @@
          << this->port_of(node, metrics_port_offset) << R"(],"limits":{"cpu-share":1,"memory-mb":260,"max-fds":4100},)"
          << R"("platform":{"address":")" << host << ":" << store
          << R"("},"bounds":{"hold-max-ms":6000,"stop-ms":200,"revoke-ms":5000,"grace-s":6,"status_s":)"
-         << this->options.job_state_retention_s << "}";
+         << this->options.job_state_retention_s << (this->options.has_evacuation_limit ? R"(,"evac-ms":5000})" : "}");
     if (this->options.has_advisor)
         file << R"(,"advice":")" << host << ":" << this->store_port << "\"";
     file << "}";
@@ -292,6 +292,18 @@
     client.Post("/configure", "", "text/plain");
 }
 
+void node_cluster::evacuate_zone(const std::string& zone)
+{
+    httplib::Client client = make_client(this->store_port);
+    client.Post("/evacuate?zone=" + zone, "", "text/plain");
+}
+
+void node_cluster::return_zone(const std::string& zone)
+{
+    httplib::Client client = make_client(this->store_port);
+    client.Post("/return?zone=" + zone, "", "text/plain");
+}
+
 void node_cluster::split_network(int leader, int executor_count)
 {
     this->set_link_fault(proxied_link::store, leader, "silence");
--- a/tests/support/node_cluster.h
+++ b/tests/support/node_cluster.h
@@ -19,12 +19,13 @@
 struct node_cluster_options {
     int nodes = 1;
     int executors = 1;
-    int job_state_retention_s = 120; // How long callers may query ended jobs (setting status_s).
-    int job_retention_s = 3'600;     // Minimum time for which nodes keep ended jobs (flag --job_retention_s).
-    bool has_proxy = false;          // All connections run through the fault-injecting proxy.
-    bool has_advisor = true;         // The settings name an advisor; it shares the store's port.
-    bool keeps_connections = false;  // Callers reuse one connection to each node.
-    bool has_unit_records = true;    // Nodes are started with --progress_format=per_unit.
+    int job_state_retention_s = 120;   // How long callers may query ended jobs (setting status_s).
+    int job_retention_s = 3'600;       // Minimum time for which nodes keep ended jobs (flag --job_retention_s).
+    bool has_proxy = false;            // All connections run through the fault-injecting proxy.
+    bool has_advisor = true;           // The settings name an advisor; it shares the store's port.
+    bool keeps_connections = false;    // Callers reuse one connection to each node.
+    bool has_evacuation_limit = false; // The settings bound the time until an evacuation is in force (evac-ms).
+    bool has_unit_records = true;      // Nodes are started with --progress_format=per_unit.
 };
 
 // The connections that one route of the proxy carries: from one node to the store, from all nodes to one executor, or
@@ -61,6 +62,10 @@
     void remove_queue(const std::string& queue);
     void restore_queues();
 
+    // Evacuates the availability zone "z0", which has the executors of even number, or "z1"; or takes it back.
+    void evacuate_zone(const std::string& zone);
+    void return_zone(const std::string& zone);
+
     // The faults of stand-in-node-platform: none, refuse, mute, lost.
     void set_store_fault(const std::string& fault);
 
