placement: fields for the speed of an executor

They have no effect yet: every executor has the class 0, and no need has a preference. The estimate of speeds and the placement that uses it are built apart, and both need them.

--- a/libraries/dispatch/placement.h
+++ b/libraries/dispatch/placement.h
@@ -27,8 +27,15 @@
     bool is_permitted = true;    // The unit that is being placed may run there at all.
     bool has_filling = false;    // Runs a task that uses what others leave unused.
     bool has_serving = false;    // Runs a task with a target for its users' response times.
+    // Expected run time of a task as a multiple of that on the fleet's median executor, and its class; class 0 is the
+    // fastest. While the fleet counts as even, all executors have the multiple 1 and the class 0.
+    double run_time_multiple = 1.0;
+    std::int32_t speed_class = 0;
 };
 
+// Which executors a unit takes first while the fleet is uneven.
+enum class speed_preference : std::uint8_t { none, fastest, slowest };
+
 struct placement_need {
     std::string_view pool;
     resources per_task;
@@ -40,6 +47,7 @@
     bool is_filling = false; // Not placed beside serving tasks: how much it disturbs them is not known in advance.
     bool is_serving = false;
     std::uint32_t max_per_executor = 0; // At most this many tasks of the step on one executor; 0: no limit.
+    speed_preference preference = speed_preference::none;
 };
 
 // Number of tasks of the same step that each executor already has.
