executor_speed: estimate of the executors' speeds from polls

Executors of one deployment run the same work at different speeds, which nothing announces. The leader estimates a run time multiple for each from the progress in polls, and marks the capacity table while the fleet counts as uneven. Only with the option places_by_speed; no placement uses the marks yet. Compiles; tests follow.

--- a/libraries/dispatch/capacity_table.cpp
+++ b/libraries/dispatch/capacity_table.cpp
@@ -97,6 +97,16 @@
     }
 }
 
+void capacity_table::mark_speeds(const executor_speed& speeds, boot_time now)
+{
+    if (!speeds.is_uneven())
+        return;
+    for (executor_capacity& entry : this->entries) {
+        entry.run_time_multiple = speeds.find(entry.executor, now).multiple;
+        entry.speed_class = speeds.find_class(entry.run_time_multiple);
+    }
+}
+
 void capacity_table::allocate(std::size_t row, const placement_need& need)
 {
     executor_capacity& entry = this->entries[row];
--- a/libraries/dispatch/capacity_table.h
+++ b/libraries/dispatch/capacity_table.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "dispatch/executor_registry.h"
+#include "dispatch/executor_speed.h"
 #include "dispatch/job_run.h"
 #include "dispatch/placement.h"
 #include "dispatch/run_tracker.h"
@@ -33,6 +34,9 @@
     // Marks the executors that run filling or serving tasks.
     void mark_filling_and_serving(const run_tracker& tracker);
 
+    // Sets the run time multiples and speed classes while the fleet counts as uneven.
+    void mark_speeds(const executor_speed& speeds, boot_time now);
+
     // Takes the resources for one task of the need from the executor.
     void allocate(std::size_t row, const placement_need& need);
 
--- a/libraries/dispatch/dispatcher.cpp
+++ b/libraries/dispatch/dispatcher.cpp
@@ -30,6 +30,9 @@
 // A stall takes seconds to detect, so it is not checked in every round.
 constexpr milliseconds stall_check_interval{250};
 
+// At most one change of the fleet's evenness is logged in this time.
+constexpr milliseconds evenness_report_interval{10'000};
+
 } // namespace
 
 dispatcher::dispatcher(const dispatch_limits& given_limits, boot_time leading_since)
@@ -90,12 +93,15 @@
     const bool is_new_incarnation = this->registry.update(entry, now);
     if (known == nullptr)
         this->registry.find(entry.id)->used = this->tracker.sum_used(entry.id);
-    if (known != nullptr && is_new_incarnation)
+    if (known != nullptr && is_new_incarnation) {
+        this->executor_speeds.restart(entry.id, entry.incarnation_ms);
         this->tracker.resolve_previous_incarnations(entry.id, entry.incarnation_ms, now);
+    }
 }
 
 void dispatcher::remove_executor(std::string_view id, boot_time now)
 {
+    this->executor_speeds.remove(id);
     this->registry.remove(id, now);
 }
 
@@ -116,9 +122,70 @@
         this->update_executor(restarted, now);
         this->events.add("executor_restarted", {}, std::string(executor_id));
     }
+    if (this->limits.options.places_by_speed && source->is_listed)
+        this->observe_speed(*source, report, now);
     this->tracker.apply_poll_report(*source, report, sent_at, now);
 }
 
+// Called before the tracker applies the report, which ends the runs that the report lists as ended.
+void dispatcher::observe_speed(const executor& source, const poll_report& report, boot_time now)
+{
+    std::vector<std::string> step_keys;
+    step_keys.reserve(report.running.size()); // The observations hold views of the keys.
+    std::vector<task_observation> running;
+    running.reserve(report.running.size());
+    for (const running_task& reported : report.running) {
+        const auto name = parse_task_name(reported.task);
+        job_run* job = name ? this->tracker.find(name->job) : nullptr;
+        std::uint32_t task_row = 0;
+        const work_unit* unit = job != nullptr ? job->find_unit(name->position, task_row) : nullptr;
+        if (unit == nullptr || unit->run != reported.run || task_row >= unit->placed_tasks.size() ||
+            unit->placed_tasks[task_row].executor != source.entry.id)
+            continue;
+        const records::Step& step = job->step_of(*unit);
+        // Their progress depends on their users, on what others leave unused, or on the distance to their data.
+        const bool is_away = !step.data_rack().empty() && step.data_rack() != source.entry.rack;
+        if (step.lasting() || step.filling() || is_away)
+            continue;
+        const bool is_bound = std::any_of(unit->placed_tasks.begin(), unit->placed_tasks.end(),
+                                          [&source](const placed_task& t) { return t.executor != source.entry.id; });
+        // The tasks of a gang progress together, so those on one executor are one sample.
+        if (unit->task_count > 1 && !is_bound && task_row > 0)
+            continue;
+        step_keys.push_back(name->job + "." + std::to_string(name->position.step));
+        running.push_back({reported.task, reported.run, step_keys.back(), milliseconds(step.estimate_ms()),
+                           reported.percent, !unit->checkpoint.empty(), is_bound});
+    }
+    std::vector<end_observation> ended;
+    for (const ended_task& end : report.ended) {
+        if (end.outcome == run_outcome::done && end.sequence > source.last_end_seen)
+            ended.push_back({end.task, end.run});
+    }
+    this->executor_speeds.observe(source.entry.id, source.entry.incarnation_ms, report.clock, running, ended, now);
+}
+
+void dispatcher::update_speeds(boot_time now)
+{
+    std::optional<double> tightest_stretch;
+    for (const queue_policy& queue : this->policy.queues)
+        tightest_stretch = std::min(tightest_stretch.value_or(queue.stretch), queue.stretch);
+    const bool has_changed = this->executor_speeds.update(tightest_stretch, now);
+    this->capacities.mark_speeds(this->executor_speeds, now);
+    if (!has_changed || (this->evenness_reported_at && now - *this->evenness_reported_at < evenness_report_interval))
+        return;
+    this->evenness_reported_at = now;
+    this->events.add(this->executor_speeds.is_uneven() ? "fleet_uneven" : "fleet_even", {},
+                     "tightest_stretch=" + std::to_string(tightest_stretch.value_or(0)));
+}
+
+std::vector<std::size_t> dispatcher::count_speed_classes() const
+{
+    std::vector<std::size_t> counts(max_speed_class + 1, 0);
+    for (const executor_capacity& entry : this->capacities.all())
+        ++counts[static_cast<std::size_t>(entry.speed_class)];
+    return counts;
+}
+
 void dispatcher::handle_start_answer(const start_order& order, start_answer answer, boot_time now)
 {
     if (answer == start_answer::ticket_refused) {
@@ -306,6 +373,8 @@
     this->pending_work.count_demand(this->tracker, this->policy);
     this->capacities.build(this->registry, this->evacuations, this->limits.max_poll_age, now);
     this->capacities.mark_filling_and_serving(this->tracker);
+    if (this->limits.options.places_by_speed)
+        this->update_speeds(now);
     this->unplaced_needs.clear();
     this->advice.begin_round();
     this->preemption.begin_round();
--- a/libraries/dispatch/dispatcher.h
+++ b/libraries/dispatch/dispatcher.h
@@ -18,6 +18,7 @@
 #include "dispatch/dispatch_event.h"
 #include "dispatch/dispatch_options.h"
 #include "dispatch/executor_registry.h"
+#include "dispatch/executor_speed.h"
 #include "dispatch/placement.h"
 #include "dispatch/preemptor.h"
 #include "dispatch/run_tracker.h"
@@ -146,6 +147,11 @@
         return this->tracker.tasks_on(executor).size();
     }
 
+    // The estimated speeds of the executors, and the number of executors that may get tasks by speed class.
+    [[nodiscard]] const executor_speed& speeds() const { return this->executor_speeds; }
+    [[nodiscard]] bool places_by_speed() const { return this->limits.options.places_by_speed; }
+    [[nodiscard]] std::vector<std::size_t> count_speed_classes() const;
+
     // Returns the decisions since the last call.
     std::vector<dispatch_event> take_events() { return this->events.take(); }
 
@@ -165,6 +171,8 @@
     void handle_end_stored(std::string_view id);
     void withdraw_starts_in_evacuated_zones(std::span<const start_order> starts, boot_time now);
     void report_evacuations(boot_time now);
+    void observe_speed(const executor& source, const poll_report& report, boot_time now);
+    void update_speeds(boot_time now);
     void stop_stalled_units(boot_time now);
     void stop_if_stalled(job_run& job, work_unit& unit, boot_time now);
 
@@ -185,6 +193,8 @@
     std::optional<boot_time> stalls_checked_at;
     zone_evacuations evacuations;
     bool has_current_evacuations = true; // When the last round was decided.
+    executor_speed executor_speeds;      // Empty unless the options say that placement uses it.
+    std::optional<boot_time> evenness_reported_at;
 };
 
 } // namespace wigeon
--- /dev/null
+++ b/libraries/dispatch/executor_speed.cpp
@@ -0,0 +1,435 @@
+// Takes rate samples from reports, and finds the levels of steps and the multiples of executors from them.
+
+#include "dispatch/executor_speed.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+namespace wigeon {
+
+namespace {
+
+// Rates over a shorter time are mostly the error of the clock readings and of the whole percents.
+constexpr milliseconds min_sample_time{500};
+
+// A rate is taken over the newest stretch of time with this progress, so that the rounding of both reports to whole
+// percents changes it by a quarter at most.
+constexpr std::uint32_t min_sample_percent = 4;
+
+constexpr std::size_t max_points = 8;
+constexpr std::uint32_t complete_percent = 100;
+
+// Standard deviation of the difference of two rounded percentages.
+constexpr double rounding_error_percent = 0.41;
+
+// Variance of the logarithm of the work of the tasks of one step, which callers expect to vary by 15 to 30%.
+constexpr double work_variance = 0.25 * 0.25;
+
+// Number of samples that the caller's estimate of a step counts for. Estimates are wrong by a factor of up to two.
+constexpr double estimate_weight = 0.5;
+
+// Number of samples that count for the fleet's median in each executor's estimate.
+constexpr double median_weight = 0.5;
+
+// Number of samples that the former estimate of a restarted executor counts for at most.
+constexpr double restart_weight = 0.5;
+
+constexpr std::size_t max_ended_samples = 12;
+constexpr milliseconds max_sample_age{30'000};
+
+// Samples that differ more from the executor's median don't count: the task is odd, not the executor.
+const double max_deviation = std::log(1.8);
+
+// A change of speed by more than this is one of the executor, not the variation of the work.
+const double min_speed_change = std::log(2.0);
+
+// Samples not older than this are compared with the earlier ones to detect a change.
+constexpr milliseconds recent_time{1'500};
+
+// The estimate of an executor without new samples returns to the median with this half-life. Executors that are several
+// times slower are so only for seconds.
+constexpr milliseconds estimate_half_life{20'000};
+constexpr milliseconds straggler_half_life{5'000};
+const double min_straggler = std::log(2.5);
+
+// Estimates of executors count for the evenness of the fleet with this much behind them, and for this long: once slow
+// executors get less work, the fleet must not seem even because of that.
+constexpr double min_known_weight = 3;
+constexpr milliseconds max_known_age{120'000};
+constexpr std::size_t min_known_executors = 10;
+
+// The fleet counts as uneven, or no longer, once the measurement has said so for this long.
+constexpr milliseconds uneven_after{1'000};
+constexpr milliseconds even_after{5'000};
+// Distance of the logarithmic limits for both changes.
+constexpr double evenness_hysteresis = 0.08;
+
+// A gang's estimate may be wrong by two, and its work varies.
+const double bound_margin = std::log(2.0) + 0.3;
+
+double find_percentile(std::span<const double> sorted, double part)
+{
+    return sorted[static_cast<std::size_t>(part * static_cast<double>(sorted.size() - 1))];
+}
+
+double find_median(std::vector<double>& values)
+{
+    const auto middle = values.begin() + static_cast<std::ptrdiff_t>(values.size() / 2);
+    std::nth_element(values.begin(), middle, values.end());
+    if (values.size() % 2 == 1)
+        return *middle;
+    return (*middle + *std::max_element(values.begin(), middle)) / 2;
+}
+
+double find_weight(double percent)
+{
+    const double error = rounding_error_percent / percent;
+    return work_variance / (work_variance + error * error);
+}
+
+double find_log_rate(double percent, milliseconds duration)
+{
+    constexpr double ms_per_second = 1'000;
+    return std::log(percent * ms_per_second / static_cast<double>(duration.count()));
+}
+
+// Part of an estimate that is left at this age.
+double find_freshness(double log_multiple, milliseconds age)
+{
+    const milliseconds half_life = log_multiple > min_straggler ? straggler_half_life : estimate_half_life;
+    return std::exp2(-static_cast<double>(age.count()) / static_cast<double>(half_life.count()));
+}
+
+} // namespace
+
+std::shared_ptr<executor_speed::step_level> executor_speed::find_step(const task_observation& observed)
+{
+    std::shared_ptr<step_level>& step = this->steps[std::string(observed.step)];
+    if (step == nullptr) {
+        step = std::make_shared<step_level>();
+        step->expected = find_log_rate(complete_percent, std::max(observed.estimate, milliseconds(1)));
+        step->level = step->expected;
+    }
+    return step;
+}
+
+std::optional<double> executor_speed::sample_progress(tracked_task& task, const progress_point& point, boot_time now)
+{
+    // Before the first progress a task may still start, or restore its checkpoint.
+    if (task.points.empty() && point.percent <= task.first_percent)
+        return std::nullopt;
+    if (!task.points.empty() && point.percent < task.points.back().percent)
+        task.points.clear();
+    std::optional<double> change;
+    const double former = task.sample.log_rate;
+    const bool has_former = task.sample.weight > 0;
+    bool is_newest = true;
+    for (auto start = task.points.rbegin(); start != task.points.rend(); ++start) {
+        const milliseconds duration = point.clock - start->clock;
+        if (duration < min_sample_time)
+            continue;
+        const std::uint32_t gained = point.percent - start->percent;
+        // The end of the work lies somewhere before a report of 100 percent.
+        if (point.percent >= complete_percent)
+            break;
+        const bool has_slowed =
+            is_newest && has_former && find_log_rate(gained + 1, duration) < former - min_speed_change;
+        is_newest = false;
+        if (gained < min_sample_percent && !has_slowed)
+            continue;
+        const double percent = std::max<double>(gained, 0.5);
+        task.sample.log_rate = find_log_rate(percent, duration);
+        task.sample.weight = find_weight(std::max<double>(gained, 1));
+        task.sample.taken_at = now;
+        if (has_former)
+            change = task.sample.log_rate - former;
+        break;
+    }
+    task.points.push_back(point);
+    if (task.points.size() > max_points)
+        task.points.erase(task.points.begin());
+    return change;
+}
+
+void executor_speed::keep_ended(executor_state& state, const rate_sample& sample)
+{
+    state.ended.push_back(sample);
+    if (state.ended.size() > max_ended_samples)
+        state.ended.erase(state.ended.begin());
+}
+
+// A task that ended between two reports has ended at an unknown time between them. Its rate up to the middle of that
+// time counts if there is no rate from reports.
+void executor_speed::sample_end(executor_state& state, const tracked_task& task, milliseconds clock, boot_time now)
+{
+    if (task.is_bound)
+        return;
+    if (task.sample.weight > 0) {
+        keep_ended(state, task.sample);
+        return;
+    }
+    if (task.points.empty())
+        return;
+    const milliseconds half = (clock - task.points.back().clock) / 2;
+    const milliseconds duration = task.points.back().clock + half - task.points.front().clock;
+    const std::uint32_t gained = complete_percent - task.points.front().percent;
+    if (duration < min_sample_time || gained < min_sample_percent)
+        return;
+    const double time_error = static_cast<double>(half.count()) / static_cast<double>(duration.count());
+    rate_sample sample = task.sample;
+    sample.log_rate = find_log_rate(gained, duration);
+    sample.weight = work_variance / (work_variance + time_error * time_error / 3);
+    sample.taken_at = now;
+    keep_ended(state, sample);
+    state.newest_sample = now;
+}
+
+void executor_speed::forget_former_speed(executor_state& state)
+{
+    state.ended.clear();
+    state.prior_weight = 0;
+}
+
+void executor_speed::restart(std::string_view executor, std::uint64_t incarnation_ms)
+{
+    const auto found = this->executors.find(executor);
+    if (found == this->executors.end() || incarnation_ms <= found->second.incarnation_ms)
+        return;
+    executor_state& state = found->second;
+    executor_state restarted;
+    restarted.incarnation_ms = incarnation_ms;
+    restarted.prior = state.log_multiple;
+    restarted.prior_weight = std::min(state.weight, restart_weight);
+    restarted.newest_sample = state.newest_sample;
+    restarted.log_multiple = state.log_multiple * restarted.prior_weight / (restarted.prior_weight + median_weight);
+    state = std::move(restarted);
+}
+
+void executor_speed::remove(std::string_view executor)
+{
+    const auto found = this->executors.find(executor);
+    if (found != this->executors.end())
+        this->executors.erase(found);
+}
+
+void executor_speed::observe(std::string_view executor, std::uint64_t incarnation_ms, milliseconds clock,
+                             std::span<const task_observation> running, std::span<const end_observation> ended,
+                             boot_time now)
+{
+    this->restart(executor, incarnation_ms);
+    auto found = this->executors.find(executor);
+    if (found == this->executors.end()) {
+        if (running.empty())
+            return;
+        found = this->executors.try_emplace(std::string(executor)).first;
+        found->second.incarnation_ms = incarnation_ms;
+    }
+    executor_state& state = found->second;
+    if (incarnation_ms < state.incarnation_ms || clock <= state.clock)
+        return;
+    state.clock = clock;
+    std::size_t compared = 0;
+    std::size_t slowed = 0;
+    std::size_t sped_up = 0;
+    for (tracked_task& task : state.running)
+        task.is_seen = false;
+    for (const task_observation& observed : running) {
+        auto known = std::find_if(state.running.begin(), state.running.end(), [&observed](const tracked_task& task) {
+            return task.run == observed.run && task.task == observed.task;
+        });
+        if (known == state.running.end()) {
+            tracked_task task;
+            task.task = observed.task;
+            task.run = observed.run;
+            task.is_bound = observed.is_bound;
+            task.first_percent = observed.is_resumed ? observed.percent : 0;
+            task.sample.step = this->find_step(observed);
+            state.running.push_back(std::move(task));
+            known = state.running.end() - 1;
+        }
+        known->is_seen = true;
+        const auto change = sample_progress(*known, {clock, observed.percent}, now);
+        if (known->sample.taken_at == now && known->sample.weight > 0)
+            state.newest_sample = now;
+        if (!change || known->is_bound)
+            continue;
+        ++compared;
+        slowed += *change < -min_speed_change ? 1 : 0;
+        sped_up += *change > min_speed_change ? 1 : 0;
+    }
+    // The work of a task does not change while it runs, so a changed rate of most tasks is a change of the executor.
+    if (std::max(slowed, sped_up) * 2 > compared)
+        forget_former_speed(state);
+    for (const tracked_task& task : state.running) {
+        const bool is_done = std::any_of(ended.begin(), ended.end(), [&task](const end_observation& end) {
+            return end.run == task.run && end.task == task.task;
+        });
+        if (!task.is_seen && is_done)
+            sample_end(state, task, clock, now);
+    }
+    std::erase_if(state.running, [](const tracked_task& task) { return !task.is_seen; });
+}
+
+// Drops samples that are too old, and those from before a change of speed.
+void executor_speed::drop_old_samples(executor_state& state, boot_time now)
+{
+    std::erase_if(state.ended, [now](const rate_sample& sample) { return now - sample.taken_at > max_sample_age; });
+    std::vector<double> recent;
+    std::vector<double> former;
+    const auto add = [&recent, &former, now](const rate_sample& sample) {
+        (now - sample.taken_at <= recent_time ? recent : former).push_back(sample.step->level - sample.log_rate);
+    };
+    for (const rate_sample& sample : state.ended)
+        add(sample);
+    for (const tracked_task& task : state.running) {
+        if (task.sample.weight > 0 && !task.is_bound)
+            add(task.sample);
+    }
+    if (recent.size() < 2 || former.empty())
+        return;
+    if (std::abs(find_median(recent) - find_median(former)) < min_speed_change)
+        return;
+    state.prior_weight = 0;
+    std::erase_if(state.ended, [now](const rate_sample& sample) { return now - sample.taken_at > recent_time; });
+}
+
+void executor_speed::compute_levels()
+{
+    for (auto& [name, step] : this->steps)
+        step->scratch.clear();
+    for (const auto& [id, state] : this->executors) {
+        for (const rate_sample& sample : state.ended)
+            sample.step->scratch.push_back(sample.log_rate + state.log_multiple);
+        for (const tracked_task& task : state.running) {
+            if (task.sample.weight > 0 && !task.is_bound)
+                task.sample.step->scratch.push_back(task.sample.log_rate + state.log_multiple);
+        }
+    }
+    for (auto& [name, step] : this->steps) {
+        if (step->scratch.empty())
+            continue;
+        const auto count = static_cast<double>(step->scratch.size());
+        step->level =
+            (find_median(step->scratch) * count + step->expected * estimate_weight) / (count + estimate_weight);
+    }
+}
+
+void executor_speed::compute_multiple(executor_state& state, boot_time now)
+{
+    std::vector<double> values;
+    std::vector<double> weights;
+    double bound = std::numeric_limits<double>::infinity();
+    const auto add = [&values, &weights](const rate_sample& sample) {
+        values.push_back(sample.step->level - sample.log_rate);
+        weights.push_back(sample.weight);
+    };
+    for (const rate_sample& sample : state.ended)
+        add(sample);
+    for (const tracked_task& task : state.running) {
+        if (task.sample.weight <= 0 || now - task.sample.taken_at > max_sample_age)
+            continue;
+        if (task.is_bound)
+            bound = std::min(bound, task.sample.step->expected - task.sample.log_rate + bound_margin);
+        else
+            add(task.sample);
+    }
+    if (!values.empty()) {
+        std::vector<double> copy = values;
+        const double median = find_median(copy);
+        double sum = state.prior * state.prior_weight;
+        state.weight = 0;
+        for (std::size_t row = 0; row < values.size(); ++row) {
+            if (values.size() > 2 && std::abs(values[row] - median) > max_deviation)
+                continue;
+            sum += values[row] * weights[row];
+            state.weight += weights[row];
+        }
+        state.log_multiple = sum / (state.weight + state.prior_weight + median_weight);
+    }
+    state.log_multiple = std::min(state.log_multiple, bound);
+}
+
+// Multiples are relative to the fleet's median. An executor without samples keeps its former multiple.
+void executor_speed::center_multiples(boot_time now)
+{
+    std::vector<double> sampled;
+    for (const auto& [id, state] : this->executors) {
+        if (state.weight >= 1 && state.newest_sample && now - *state.newest_sample <= max_known_age)
+            sampled.push_back(state.log_multiple);
+    }
+    if (sampled.empty())
+        return;
+    const double median = find_median(sampled);
+    for (auto& [id, state] : this->executors)
+        state.log_multiple -= state.weight > 0 ? median : 0;
+}
+
+void executor_speed::update_evenness(std::optional<double> tightest_stretch, boot_time now)
+{
+    this->known_multiples.clear();
+    for (const auto& [id, state] : this->executors) {
+        if (state.weight >= min_known_weight && state.newest_sample && now - *state.newest_sample <= max_known_age)
+            this->known_multiples.push_back(state.log_multiple);
+    }
+    std::sort(this->known_multiples.begin(), this->known_multiples.end());
+    bool is_measured_uneven = false;
+    if (tightest_stretch && *tightest_stretch > 1 && this->known_multiples.size() >= min_known_executors) {
+        const double slow = find_percentile(this->known_multiples, 0.9) - find_percentile(this->known_multiples, 0.5);
+        is_measured_uneven = slow >= std::log(*tightest_stretch) - (this->counts_as_uneven ? evenness_hysteresis : 0);
+    }
+    if (is_measured_uneven == this->counts_as_uneven) {
+        this->differs_since.reset();
+        return;
+    }
+    if (!this->differs_since)
+        this->differs_since = now;
+    if (now - *this->differs_since < (is_measured_uneven ? uneven_after : even_after))
+        return;
+    this->counts_as_uneven = is_measured_uneven;
+    this->differs_since.reset();
+}
+
+bool executor_speed::update(std::optional<double> tightest_stretch, boot_time now)
+{
+    if (this->updated_at && now - *this->updated_at < speed_update_interval)
+        return false;
+    this->updated_at = now;
+    for (auto& [id, state] : this->executors)
+        drop_old_samples(state, now);
+    // Each computation begins with the result of the last one, so that few passes are enough.
+    constexpr int passes = 2;
+    for (int pass = 0; pass < passes; ++pass) {
+        this->compute_levels();
+        for (auto& [id, state] : this->executors)
+            compute_multiple(state, now);
+        this->center_multiples(now);
+    }
+    std::erase_if(this->steps, [](const auto& entry) { return entry.second.use_count() == 1; });
+    const bool was_uneven = this->counts_as_uneven;
+    this->update_evenness(tightest_stretch, now);
+    return this->counts_as_uneven != was_uneven;
+}
+
+speed_estimate executor_speed::find(std::string_view executor, boot_time now) const
+{
+    const auto found = this->executors.find(executor);
+    if (found == this->executors.end() || !found->second.newest_sample)
+        return {};
+    const executor_state& state = found->second;
+    const milliseconds age = std::max(now - *state.newest_sample, milliseconds(0));
+    const double freshness = find_freshness(state.log_multiple, age);
+    const double weight = state.weight + state.prior_weight;
+    return {std::exp(state.log_multiple * freshness), freshness * weight / (weight + 1), age};
+}
+
+std::int32_t executor_speed::find_class(double multiple) const
+{
+    if (this->known_multiples.empty())
+        return 0;
+    const double fastest = find_percentile(this->known_multiples, 0.05);
+    const double steps_away = (std::log(multiple) - fastest) / std::log(speed_class_ratio);
+    return static_cast<std::int32_t>(std::clamp<double>(std::round(steps_away), 0, max_speed_class));
+}
+
+} // namespace wigeon
--- a/libraries/node/leader.cpp
+++ b/libraries/node/leader.cpp
@@ -362,6 +362,17 @@
     this->job_dispatcher.set_evacuations(newest);
 }
 
+void leader::report_speeds() const
+{
+    if (!this->job_dispatcher.places_by_speed())
+        return;
+    process_metrics().set_gauge("wigeon_fleet_uneven", this->job_dispatcher.speeds().is_uneven() ? 1 : 0);
+    std::size_t speed_class = 0;
+    for (const std::size_t count : this->job_dispatcher.count_speed_classes())
+        process_metrics().set_gauge("wigeon_executors_by_speed{class=\"" + std::to_string(speed_class++) + "\"}",
+                                    static_cast<double>(count));
+}
+
 void leader::report_evacuated_tasks() const
 {
     for (const auto& [zone, since] : this->state.evacuations().all()) {
@@ -414,6 +425,7 @@
     this->sessions->send_stops(now);
     this->sweeper->sweep(now);
     this->report_evacuated_tasks();
+    this->report_speeds();
     this->log_events();
     if (this->stage == phase::leading && !this->is_round_scheduled) {
         this->maintenance_timer.expires_after(maintenance_interval);
--- a/libraries/node/leader.h
+++ b/libraries/node/leader.h
@@ -100,6 +100,7 @@
     [[nodiscard]] bool may_decide(boot_time now) const;
     void update_evacuations();
     void report_evacuated_tasks() const;
+    void report_speeds() const;
 
     advice_service& advisor;
     node_state& state;
