Placement by executor speed

Urgent gangs ended with their slowest member, and placement did not know the speed of executors. Urgent units now take the fastest classes into which they fit, other units leave these to them, and preemption prefers places on which the urgent job ends in time.

--- a/libraries/dispatch/capacity_table.cpp
+++ b/libraries/dispatch/capacity_table.cpp
@@ -3,6 +3,7 @@
 #include "dispatch/capacity_table.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace wigeon {
 
@@ -20,6 +21,9 @@
 {
     std::size_t quarantined = 0;
     this->accelerators = 0;
+    this->has_several_classes = false;
+    this->fast_class = 0;
+    this->lowest_multiple = 1.0;
     this->entries.clear();
     this->row_by_executor.clear();
     this->find_evacuated_racks(registry, evacuations);
@@ -97,6 +101,23 @@
     }
 }
 
+void capacity_table::set_speeds(const std::map<std::string, executor_pace, std::less<>>& speeds)
+{
+    for (executor_capacity& entry : this->entries) {
+        const auto found = speeds.find(entry.executor);
+        if (found == speeds.end())
+            continue;
+        entry.run_time_multiple = found->second.run_time_multiple;
+        entry.speed_class = found->second.speed_class;
+    }
+    this->lowest_multiple = std::numeric_limits<double>::max();
+    this->fast_class = find_last_fast_class(this->entries);
+    for (const executor_capacity& entry : this->entries) {
+        this->has_several_classes = this->has_several_classes || entry.speed_class != this->entries.front().speed_class;
+        this->lowest_multiple = std::min(this->lowest_multiple, entry.run_time_multiple);
+    }
+}
+
 void capacity_table::allocate(std::size_t row, const placement_need& need)
 {
     executor_capacity& entry = this->entries[row];
--- a/libraries/dispatch/capacity_table.h
+++ b/libraries/dispatch/capacity_table.h
@@ -33,6 +33,18 @@
     // Marks the executors that run filling or serving tasks.
     void mark_filling_and_serving(const run_tracker& tracker);
 
+    // Sets the speeds of the executors that are listed; the others keep the multiple 1 and the class 0.
+    void set_speeds(const std::map<std::string, executor_pace, std::less<>>& speeds);
+
+    // Whether the executors are of several speed classes.
+    [[nodiscard]] bool is_uneven() const { return this->has_several_classes; }
+
+    // The last of the classes that are kept for urgent work.
+    [[nodiscard]] std::int32_t last_fast_class() const { return this->fast_class; }
+
+    // The lowest run-time multiple of any executor.
+    [[nodiscard]] double fastest_multiple() const { return this->lowest_multiple; }
+
     // Takes the resources for one task of the need from the executor.
     void allocate(std::size_t row, const placement_need& need);
 
@@ -63,6 +75,9 @@
     std::vector<executor_capacity> entries;
     std::map<std::string_view, std::size_t> row_by_executor;
     std::int64_t accelerators = 0; // Of all entries, used or not.
+    bool has_several_classes = false;
+    std::int32_t fast_class = 0;
+    double lowest_multiple = 1.0;
     // Racks with executors in evacuated zones, and whether they have others as well. Empty while no zone is evacuated.
     std::map<std::string_view, bool> evacuated_racks;
 };
--- a/libraries/dispatch/dispatcher.cpp
+++ b/libraries/dispatch/dispatcher.cpp
@@ -7,6 +7,8 @@
 #include <limits>
 #include <utility>
 
+#include <boost/algorithm/string/join.hpp>
+
 #include "jobs/job_table.h"
 #include "jobs/queue_policy_record.h"
 
@@ -30,6 +32,13 @@
 // A stall takes seconds to detect, so it is not checked in every round.
 constexpr milliseconds stall_check_interval{250};
 
+// A caller's estimate may be too low by this factor.
+constexpr double estimate_error_margin = 2.0;
+
+// An urgent unit that fits only where it is late waits at most this long for a place that is being freed: a stop takes
+// at most 900 ms at the users' sites. The guarantee allows 2.9 s until a job starts.
+constexpr milliseconds better_place_wait{1'200};
+
 } // namespace
 
 dispatcher::dispatcher(const dispatch_limits& given_limits, boot_time leading_since)
@@ -136,8 +145,20 @@
         this->tracker.handle_stop_answer(order.reference, is_acknowledged, now);
 }
 
-placement_need dispatcher::make_need(const job_run& job, const work_unit& unit, boot_time now) const
+// Expected run time = estimate x multiple; the job is in time while this, over all that is still to run, leaves slack.
+void dispatcher::set_preference(placement_need& need, const waiting_step& waiting) const
+{
+    if (!this->limits.options.places_by_speed || !this->capacities.is_uneven())
+        return;
+    const auto path_ms = static_cast<double>(std::max<std::int64_t>(waiting.critical_path.count(), 1));
+    need.in_time_multiple = 1 + static_cast<double>(waiting.slack.count()) / path_ms;
+    need.safe_multiple = need.in_time_multiple / estimate_error_margin;
+    need.preference = waiting.rank <= work_rank::urgent ? speed_preference::fastest : speed_preference::slowest;
+}
+
+placement_need dispatcher::make_need(const waiting_step& waiting, const work_unit& unit, boot_time now) const
 {
+    const job_run& job = *waiting.job;
     const records::Step& step = job.step_of(unit);
     placement_need need;
     need.pool = job.policy.pool;
@@ -152,6 +173,7 @@
     need.max_per_executor = step.tasks_per_executor();
     need.is_filling = step.filling();
     need.is_serving = step.tail_target_ms() > 0;
+    this->set_preference(need, waiting);
     return need;
 }
 
@@ -177,12 +199,68 @@
     return find_places(need, this->capacities.copy_without_exclusions(), present);
 }
 
+// Whether an urgent unit should wait because work is being stopped for a place on which it ends in time, while it is
+// late on the places that are free now.
+bool dispatcher::is_better_place_reserved(const waiting_step& waiting, std::uint32_t unit_row,
+                                          const placement_need& need, std::span<const std::size_t> places,
+                                          present_counts present, boot_time now)
+{
+    if (need.preference != speed_preference::fastest ||
+        find_pace(this->capacities.all(), places) <= need.in_time_multiple)
+        return false;
+    work_unit& unit = waiting.job->units[unit_row];
+    // One attempt for each placement, so that a unit that may not stop others is not held up.
+    const bool may_plan =
+        !unit.reserved_on.empty() || !unit.preemption_tried_at || *unit.preemption_tried_at < unit.waiting_since;
+    if (!may_plan || now - unit.waiting_since >= better_place_wait)
+        return false;
+    placement_need in_time = need;
+    in_time.must_be_in_time = true;
+    if (unit.reserved_on.empty()) {
+        const auto path_ms = static_cast<double>(std::max<std::int64_t>(waiting.critical_path.count(), 1));
+        in_time.in_time_multiple -= static_cast<double>(this->limits.max_stop_time.count()) / path_ms;
+        if (in_time.in_time_multiple < this->capacities.fastest_multiple())
+            return false;
+    }
+    this->preemption.reserve_or_preempt(waiting, unit_row, in_time, present, now);
+    return !unit.reserved_on.empty();
+}
+
+void dispatcher::count_by_speed(const waiting_step& waiting, std::span<const std::size_t> places)
+{
+    if (!this->capacities.is_uneven() || waiting.rank > work_rank::urgent)
+        return;
+    this->placed_by_speed.urgent_tasks += places.size();
+    for (const std::size_t row : places) {
+        if (this->capacities.all()[row].speed_class <= this->capacities.last_fast_class())
+            ++this->placed_by_speed.urgent_tasks_on_fast;
+    }
+}
+
+// The slowest class among the executors and the run time that is expected there; nothing on an even fleet.
+std::string dispatcher::format_speed(std::span<const std::string> executors, const records::Step& step) const
+{
+    if (!this->capacities.is_uneven())
+        return {};
+    std::int32_t slowest = 0;
+    double multiple = 0;
+    for (const std::string& id : executors) {
+        const auto row = this->capacities.find_row(id);
+        if (!row)
+            continue;
+        slowest = std::max(slowest, this->capacities.all()[*row].speed_class);
+        multiple = std::max(multiple, this->capacities.all()[*row].run_time_multiple);
+    }
+    const auto expected_ms = static_cast<std::int64_t>(static_cast<double>(step.estimate_ms()) * multiple);
+    return "class=" + std::to_string(slowest) + " expected_ms=" + std::to_string(expected_ms);
+}
+
 std::optional<std::vector<std::string>> dispatcher::place_unit(const waiting_step& waiting, std::uint32_t unit_row,
                                                                boot_time now)
 {
     job_run& job = *waiting.job;
     work_unit& unit = job.units[unit_row];
-    const placement_need need = make_need(job, unit, now);
+    const placement_need need = this->make_need(waiting, unit, now);
     const std::vector<std::uint32_t> present = this->capacities.count_present(job, unit);
     this->advice.mark_permitted(this->capacities, job, unit, now);
     this->capacities.mark_avoided(unit, need);
@@ -197,6 +275,9 @@
         this->preemption.reserve_or_preempt(waiting, unit_row, need, present, now);
         return std::nullopt;
     }
+    if (this->is_better_place_reserved(waiting, unit_row, need, *places, present, now))
+        return std::nullopt;
+    this->count_by_speed(waiting, *places);
     std::vector<std::string> executors;
     for (const std::size_t row : *places) {
         this->capacities.allocate(row, need);
@@ -215,8 +296,7 @@
 {
     const std::vector<std::uint32_t> units = waiting.job->steps[waiting.step_row].waiting;
     const milliseconds waited = now - waiting.job->units[units.front()].waiting_since;
-    std::string executors;
-    std::size_t placed = 0;
+    std::vector<std::string> executors;
     std::uint32_t highest_run = 0;
     for (const std::uint32_t unit_row : units) {
         const auto chosen =
@@ -225,20 +305,19 @@
             break;
         this->placed_in_round += chosen->size();
         highest_run = std::max(highest_run, waiting.job->units[unit_row].run);
-        placed += chosen->size();
-        for (const std::string& id : *chosen)
-            executors += id + " ";
+        executors.insert(executors.end(), chosen->begin(), chosen->end());
     }
-    if (placed == 0)
+    if (executors.empty())
         return;
     const records::Step& step =
         waiting.job->submission.steps(static_cast<int>(waiting.job->steps[waiting.step_row].step));
     this->events.add("placed", waiting.job->id,
                      "rank=" + std::string(to_string(waiting.rank)) +
                          " step=" + std::to_string(waiting.job->steps[waiting.step_row].step) +
-                         " run=" + std::to_string(highest_run) + " tasks=" + std::to_string(placed) + " waited_ms=" +
-                         std::to_string(waited.count()) + " slack_ms=" + std::to_string(waiting.slack.count()) +
-                         " estimate_ms=" + std::to_string(step.estimate_ms()) + " on=" + executors);
+                         " run=" + std::to_string(highest_run) + " tasks=" + std::to_string(executors.size()) +
+                         " waited_ms=" + std::to_string(waited.count()) + " slack_ms=" +
+                         std::to_string(waiting.slack.count()) + " estimate_ms=" + std::to_string(step.estimate_ms()) +
+                         " on=" + boost::algorithm::join(executors, " ") + " " + this->format_speed(executors, step));
 }
 
 // Stops stalled units, so that they are placed elsewhere.
@@ -306,6 +385,8 @@
     this->pending_work.count_demand(this->tracker, this->policy);
     this->capacities.build(this->registry, this->evacuations, this->limits.max_poll_age, now);
     this->capacities.mark_filling_and_serving(this->tracker);
+    if (this->limits.options.places_by_speed && !this->speeds.empty())
+        this->capacities.set_speeds(this->speeds);
     this->unplaced_needs.clear();
     this->advice.begin_round();
     this->preemption.begin_round();
--- a/libraries/dispatch/dispatcher.h
+++ b/libraries/dispatch/dispatcher.h
@@ -6,11 +6,13 @@
 #include <cstddef>
 #include <cstdint>
 #include <limits>
+#include <map>
 #include <optional>
 #include <set>
 #include <span>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "dispatch/advice_broker.h"
@@ -74,6 +76,12 @@
     }
 };
 
+// Urgent tasks that were placed while the fleet was uneven.
+struct speed_counts {
+    std::uint64_t urgent_tasks = 0;
+    std::uint64_t urgent_tasks_on_fast = 0; // On the fastest classes, a third of the fleet.
+};
+
 class dispatcher {
 public:
     dispatcher(const dispatch_limits& limits, boot_time leading_since);
@@ -86,6 +94,10 @@
     // The zones in which nothing may be started from now on.
     void set_evacuations(const zone_evacuations& newest) { this->evacuations = newest; }
 
+    // The speeds of all executors for the next rounds; empty while the fleet counts as even. Without the option
+    // `places_by_speed` they have no effect.
+    void set_speeds(std::map<std::string, executor_pace, std::less<>> newest) { this->speeds = std::move(newest); }
+
     // Must not be called after the first change was collected. The default is progress_format::per_unit.
     void set_progress_format(progress_format new_format) { this->format = new_format; }
 
@@ -146,12 +158,21 @@
         return this->tracker.tasks_on(executor).size();
     }
 
+    // Tasks placed by speed since the last call.
+    speed_counts take_speed_counts() { return std::exchange(this->placed_by_speed, {}); }
+
     // Returns the decisions since the last call.
     std::vector<dispatch_event> take_events() { return this->events.take(); }
 
 private:
     [[nodiscard]] queue_policy find_policy(const records::Submission& submission) const;
-    [[nodiscard]] placement_need make_need(const job_run& job, const work_unit& unit, boot_time now) const;
+    [[nodiscard]] placement_need make_need(const waiting_step& waiting, const work_unit& unit, boot_time now) const;
+    void set_preference(placement_need& need, const waiting_step& waiting) const;
+    [[nodiscard]] bool is_better_place_reserved(const waiting_step& waiting, std::uint32_t unit_row,
+                                                const placement_need& need, std::span<const std::size_t> places,
+                                                present_counts present, boot_time now);
+    void count_by_speed(const waiting_step& waiting, std::span<const std::size_t> places);
+    [[nodiscard]] std::string format_speed(std::span<const std::string> executors, const records::Step& step) const;
     [[nodiscard]] bool is_known_not_to_fit(const placement_need& need) const;
     [[nodiscard]] std::optional<std::vector<std::size_t>> find_relaxed_places(placement_need need,
                                                                               present_counts present) const;
@@ -185,6 +206,8 @@
     std::optional<boot_time> stalls_checked_at;
     zone_evacuations evacuations;
     bool has_current_evacuations = true; // When the last round was decided.
+    std::map<std::string, executor_pace, std::less<>> speeds;
+    speed_counts placed_by_speed;
 };
 
 } // namespace wigeon
--- a/libraries/dispatch/preemption.cpp
+++ b/libraries/dispatch/preemption.cpp
@@ -9,6 +9,15 @@
 
 namespace wigeon {
 
+namespace {
+
+// Costs are alike up to this ratio and this difference for each task, in core-seconds: a stop for a place where the
+// job would be late anyway gains nothing.
+constexpr double like_cost_ratio = 2.0;
+constexpr double like_cost_difference = 5.0;
+
+} // namespace
+
 preemption_planner::preemption_planner(std::span<const executor_capacity> all_executors,
                                        std::span<const preemptible_unit> all_units)
     : executors(all_executors), units(all_units), units_on(all_executors.size())
@@ -93,11 +102,12 @@
     return made;
 }
 
-std::optional<preemption_plan> preemption_planner::plan(const placement_need& need, present_counts present) const
+std::optional<preemption_plan> preemption_planner::plan_up_to(const placement_need& need, present_counts present,
+                                                              double max_multiple) const
 {
     std::map<std::string_view, std::vector<std::size_t>> groups;
     for (std::size_t row = 0; row < this->executors.size(); ++row) {
-        if (!is_eligible(need, this->executors[row]))
+        if (!is_eligible(need, this->executors[row]) || this->executors[row].run_time_multiple > max_multiple)
             continue;
         const bool is_rack_bound = need.same_rack && need.count > 1;
         groups[is_rack_bound ? this->executors[row].rack : std::string_view()].push_back(row);
@@ -111,4 +121,18 @@
     return best;
 }
 
+std::optional<preemption_plan> preemption_planner::plan(const placement_need& need, present_counts present) const
+{
+    constexpr double any_multiple = std::numeric_limits<double>::infinity();
+    if (need.preference != speed_preference::fastest)
+        return this->plan_up_to(need, present, any_multiple);
+    auto in_time = this->plan_up_to(need, present, need.in_time_multiple);
+    if (need.must_be_in_time || (in_time && in_time->cost == 0))
+        return in_time;
+    auto any = this->plan_up_to(need, present, any_multiple);
+    if (in_time && any && in_time->cost <= any->cost * like_cost_ratio + like_cost_difference * need.count)
+        return in_time;
+    return any;
+}
+
 } // namespace wigeon
--- a/libraries/dispatch/preemption.h
+++ b/libraries/dispatch/preemption.h
@@ -33,10 +33,13 @@
 public:
     preemption_planner(std::span<const executor_capacity> executors, std::span<const preemptible_unit> units);
 
-    // Nothing if the need would not fit even if all allowed units were stopped.
+    // Nothing if the need would not fit even if all allowed units were stopped. A need that prefers the fastest
+    // executors gets places on which it ends in time, unless such places cost much more than others.
     [[nodiscard]] std::optional<preemption_plan> plan(const placement_need& need, present_counts present) const;
 
 private:
+    [[nodiscard]] std::optional<preemption_plan> plan_up_to(const placement_need& need, present_counts present,
+                                                            double max_multiple) const;
     [[nodiscard]] std::optional<preemption_plan> plan_within(const placement_need& need, present_counts present,
                                                              std::span<const std::size_t> rows) const;
     [[nodiscard]] bool find_victims(std::size_t row, const resources& per_task, resources free,
--- a/libraries/dispatch/work_queue.cpp
+++ b/libraries/dispatch/work_queue.cpp
@@ -112,7 +112,8 @@
                                       timing.rank,
                                       make_order_key(timing, now),
                                       can_meet_deadline(timing, now),
-                                      timing.deadline - now - timing.critical_path};
+                                      timing.deadline - now - timing.critical_path,
+                                      timing.critical_path};
             }
             common->step_row = step.row;
             waiting.push_back(*common);
--- a/libraries/dispatch/work_queue.h
+++ b/libraries/dispatch/work_queue.h
@@ -20,7 +20,8 @@
     work_rank rank = work_rank::regular;
     order_key key;
     bool can_meet_deadline = false;
-    milliseconds slack{0}; // Until it must start to meet its deadline, by its estimates.
+    milliseconds slack{0};         // Until it must start to meet its deadline, by its estimates.
+    milliseconds critical_path{0}; // What is still to run of the job, by its estimates.
 };
 
 class work_queue {
--- a/libraries/node/leader.cpp
+++ b/libraries/node/leader.cpp
@@ -433,6 +433,11 @@
     constexpr double microseconds_per_millisecond = 1000.0;
     process_metrics().observe_ms("wigeon_round_ms",
                                  static_cast<double>(duration.count()) / microseconds_per_millisecond);
+    const speed_counts placed = this->job_dispatcher.take_speed_counts();
+    if (placed.urgent_tasks > 0) {
+        process_metrics().count("wigeon_urgent_tasks_placed_total", placed.urgent_tasks);
+        process_metrics().count("wigeon_urgent_tasks_placed_on_fast_total", placed.urgent_tasks_on_fast);
+    }
     const auto delay = std::chrono::duration_cast<milliseconds>(duration * round_delay_factor);
     this->next_round_delay = std::clamp(delay, min_round_delay, max_round_delay);
 }
