--- a/libraries/dispatch/executor_speed.h
+++ b/libraries/dispatch/executor_speed.h
@@ -20,6 +20,7 @@
 #include <vector>
 
 #include "base/time.h"
+#include "dispatch/placement.h"
 
 namespace wigeon {
 
@@ -48,7 +49,6 @@
 
 // Ratio of the run times of two neighbouring speed classes.
 constexpr double speed_class_ratio = 1.25;
-constexpr std::int32_t max_speed_class = 15;
 
 class executor_speed {
 public:
--- a/libraries/node/leader.cpp
+++ b/libraries/node/leader.cpp
@@ -366,7 +366,7 @@
 {
     if (!this->job_dispatcher.places_by_speed())
         return;
-    process_metrics().set_gauge("wigeon_fleet_uneven", this->job_dispatcher.speeds().is_uneven() ? 1 : 0);
+    process_metrics().set_gauge("wigeon_fleet_uneven", this->job_dispatcher.estimated_speeds().is_uneven() ? 1 : 0);
     std::size_t speed_class = 0;
     for (const std::size_t count : this->job_dispatcher.count_speed_classes())
         process_metrics().set_gauge("wigeon_executors_by_speed{class=\"" + std::to_string(speed_class++) + "\"}",
@@ -445,6 +445,11 @@
     constexpr double microseconds_per_millisecond = 1000.0;
     process_metrics().observe_ms("wigeon_round_ms",
                                  static_cast<double>(duration.count()) / microseconds_per_millisecond);
+    const speed_counts placed = this->job_dispatcher.take_speed_counts();
+    if (placed.urgent_tasks > 0) {
+        process_metrics().count("wigeon_urgent_tasks_placed_total", placed.urgent_tasks);
+        process_metrics().count("wigeon_urgent_tasks_placed_on_fast_total", placed.urgent_tasks_on_fast);
+    }
     const auto delay = std::chrono::duration_cast<milliseconds>(duration * round_delay_factor);
     this->next_round_delay = std::clamp(delay, min_round_delay, max_round_delay);
 }
