Preemption for work that no guarantee covers is bounded

Reservations last until the stopped tasks have ended, and hide their executors from later units. Compiles; no test yet.

--- a/libraries/dispatch/capacity_table.cpp
+++ b/libraries/dispatch/capacity_table.cpp
@@ -113,6 +113,14 @@
     }
 }
 
+void capacity_table::release(std::span<const std::string> executors, const resources& per_task)
+{
+    for (const std::string& id : executors) {
+        if (const auto row = this->find_row(id))
+            this->entries[*row].free += per_task;
+    }
+}
+
 bool capacity_table::is_mostly_idle() const
 {
     std::int64_t free = 0;
--- a/libraries/dispatch/capacity_table.h
+++ b/libraries/dispatch/capacity_table.h
@@ -39,6 +39,9 @@
     // Takes the resources for one task from each of these executors; skips executors that are not listed.
     void reserve(std::span<const std::string> executors, const resources& per_task);
 
+    // Returns what reserve() took.
+    void release(std::span<const std::string> executors, const resources& per_task);
+
     // Whether the rack has executors, and all of them are in evacuated zones.
     [[nodiscard]] bool is_rack_evacuated(std::string_view rack) const;
 
--- a/libraries/dispatch/dispatcher.cpp
+++ b/libraries/dispatch/dispatcher.cpp
@@ -36,7 +36,7 @@
     : limits(given_limits),
       registry(given_limits.max_lease, leading_since),
       tracker(registry, given_limits.max_stop_time),
-      preemption(tracker, capacities, pending_work, events)
+      preemption(tracker, capacities, pending_work, events, given_limits.options)
 {
 }
 
@@ -186,7 +186,11 @@
     const std::vector<std::uint32_t> present = this->capacities.count_present(job, unit);
     this->advice.mark_permitted(this->capacities, job, unit, now);
     this->capacities.mark_avoided(unit, need);
-    auto places = this->is_known_not_to_fit(need) ? std::nullopt : find_places(need, this->capacities.all(), present);
+    // The needs that are known not to fit were tried without the resources that are reserved for this unit.
+    const bool has_reservation = this->preemption.release_reservation(unit, job.id);
+    auto places = !has_reservation && this->is_known_not_to_fit(need)
+                      ? std::nullopt
+                      : find_places(need, this->capacities.all(), present);
     // The unit has waited for suitable executors although much of the fleet is idle.
     if (!places && now - unit.waiting_since >= relaxed_placement_wait && this->capacities.is_mostly_idle())
         places = this->find_relaxed_places(need, present);
@@ -308,11 +312,12 @@
     this->capacities.mark_filling_and_serving(this->tracker);
     this->unplaced_needs.clear();
     this->advice.begin_round();
-    this->preemption.begin_round();
+    this->preemption.begin_round(now);
     this->placed_in_round = 0;
     for (const waiting_step& waiting : this->pending_work.list(this->tracker, now)) {
         if (this->placed_in_round >= max_placed_per_round)
             break;
+        this->preemption.hold_reservations(waiting.rank);
         this->place_step(waiting, now);
     }
 }
--- a/libraries/dispatch/job_run.h
+++ b/libraries/dispatch/job_run.h
@@ -46,6 +46,13 @@
     task_progress progress;
 };
 
+// A run of another unit whose end is awaited.
+struct awaited_run {
+    std::string job;
+    std::uint32_t unit_row = 0;
+    std::uint32_t run = 0;
+};
+
 // One task, or all tasks of a gang: placed, run, failed and retried as one.
 struct work_unit {
     std::uint32_t row = 0;      // In job_run::units.
@@ -59,13 +66,27 @@
     bool is_recorded = false;      // The topic of units has a record of it.
     std::uint32_t counted_run = 0; // The last run whose failure is in `failures`.
     std::string checkpoint;
-    std::vector<placed_task> placed_tasks; // One per task from placement until all are resolved; else empty.
+    std::optional<boot_time> checkpoint_changed_at; // When a poll or an end last brought a new one.
+    std::vector<placed_task> placed_tasks;          // One per task from placement until all are resolved; else empty.
     boot_time waiting_since;
     boot_time placed_at;
     std::set<std::string, std::less<>> failed_on; // Executors on which it failed.
     std::vector<std::string> reserved_on;         // Executors reserved for it, one per task; empty: none.
     boot_time reserved_at;
     std::optional<boot_time> preemption_tried_at; // When preemption was last planned for it.
+    bool is_refusal_logged = false;               // Of preemption for it, while it waits.
+    bool was_preempted = false;                   // In this leader's term.
+    std::vector<awaited_run> awaited_runs;        // The reservation is kept while these are ending.
+    boot_time awaited_until;                      // And at most until then.
+    bool has_awaited_ends = false;                // A reservation without stops was tried, while it waits.
+
+    void set_checkpoint(const std::string& newest, boot_time now)
+    {
+        if (this->checkpoint == newest)
+            return;
+        this->checkpoint = newest;
+        this->checkpoint_changed_at = now;
+    }
 };
 
 // One occurrence of a step.
@@ -105,6 +126,7 @@
     bool is_phase_changed = false;            // Since the last record of the phase.
     bool is_end_stored = false;               // The store has the record of the job's final phase.
     std::size_t unresolved_tasks = 0;         // Placed tasks that are not resolved.
+    std::uint32_t preemptions = 0;            // Stops of its units for other work, in this leader's term.
 
     job_run(std::string job_id, const records::Submission& accepted, const queue_policy& queue, boot_time now);
 
--- a/libraries/dispatch/run_tracker.cpp
+++ b/libraries/dispatch/run_tracker.cpp
@@ -113,6 +113,9 @@
     unit.placed_at = now;
     unit.reserved_on.clear();
     unit.preemption_tried_at.reset();
+    unit.is_refusal_logged = false;
+    unit.has_awaited_ends = false;
+    unit.awaited_runs.clear();
     job.remove_waiting(unit);
     const resources per_task = find_task_resources(job.step_of(unit));
     for (const std::string& id : executors) {
@@ -313,7 +316,7 @@
     if (task.executor != source.entry.id || task.phase == task_phase::resolved)
         return;
     if (!ended.checkpoint.empty() && ended.outcome != run_outcome::done)
-        unit->checkpoint = ended.checkpoint;
+        unit->set_checkpoint(ended.checkpoint, now);
     if (ended.outcome == run_outcome::failed) {
         source.health.record_failure(now - unit->placed_at, milliseconds(job->step_of(*unit).estimate_ms()), now);
         this->record_failure(*job, *unit, source, now);
@@ -348,7 +351,7 @@
         task.phase = task_phase::running;
     task.confirmed_at = std::max(task.confirmed_at, sent_at);
     if (!reported.checkpoint.empty())
-        unit->checkpoint = reported.checkpoint;
+        unit->set_checkpoint(reported.checkpoint, now);
     const task_reference running_reference{job->id, unit->row, task_row, reported.run};
     if (!is_active(*job))
         this->request_stop(*job, *unit, task, now);
