--- a/libraries/dispatch/job_run.h
+++ b/libraries/dispatch/job_run.h
@@ -76,8 +76,9 @@
     std::optional<boot_time> preemption_tried_at; // When preemption was last planned for it.
     bool is_refusal_logged = false;               // Of preemption for it, while it waits.
     bool was_preempted = false;                   // In this leader's term.
-    std::vector<awaited_run> awaited_runs;        // The reservation is kept while these are ending.
-    boot_time awaited_until;                      // And at most until then.
+    std::vector<awaited_run> awaited_runs;        // The reservation is kept while these are ending,
+    boot_time awaited_until;                      // and at most until then.
+    boot_time awaited_seen_at;                    // When one of them was last seen running.
     bool has_awaited_ends = false;                // A reservation without stops was tried, while it waits.
 
     void set_checkpoint(const std::string& newest, boot_time now)
--- a/libraries/dispatch/preemptor.cpp
+++ b/libraries/dispatch/preemptor.cpp
@@ -39,6 +39,9 @@
 // sent again, and its end appears in a later poll.
 constexpr milliseconds stop_wait_limit{4'000};
 
+// And this long after the last of them has ended, so that the unit is placed before others.
+constexpr milliseconds placement_grace{300};
+
 // A starving unit's reservation is kept at most this long while the tasks on its executors end by themselves.
 constexpr milliseconds drain_wait_limit{10'000};
 
@@ -110,8 +113,8 @@
     this->budget.begin_round(now);
     std::erase_if(this->held, [this, now](held_reservation& reservation) {
         reservation.is_applied = false;
-        const job_run* job = this->tracker.find(reservation.job);
-        const work_unit* unit =
+        job_run* job = this->tracker.find(reservation.job);
+        work_unit* unit =
             job == nullptr || is_final(job->phase) ? nullptr : job->units.find(reservation.unit_row);
         return unit == nullptr || !this->keeps_reservation(*unit, now);
     });
@@ -261,20 +264,24 @@
     return unit != nullptr && unit->run == awaited.run && !unit->placed_tasks.empty();
 }
 
-bool preemptor::keeps_reservation(const work_unit& unit, boot_time now)
+bool preemptor::keeps_reservation(work_unit& unit, boot_time now)
 {
     if (unit.reserved_on.empty())
         return false;
     if (now - unit.reserved_at < reservation_time)
         return true;
-    return this->is_bounded && now < unit.awaited_until &&
-           std::ranges::any_of(unit.awaited_runs,
-                               [this](const awaited_run& awaited) { return this->is_still_running(awaited); });
+    if (!this->is_bounded || now >= unit.awaited_until)
+        return false;
+    if (std::ranges::any_of(unit.awaited_runs,
+                            [this](const awaited_run& awaited) { return this->is_still_running(awaited); }))
+        unit.awaited_seen_at = now;
+    return now - unit.awaited_seen_at <= placement_grace;
 }
 
 void preemptor::await_victims(work_unit& unit, const preemption_plan& plan, boot_time until)
 {
     unit.awaited_until = until;
+    unit.awaited_seen_at = boot_time();
     for (const std::size_t victim : plan.victims) {
         const running_unit& running = this->running_units[victim];
         unit.awaited_runs.push_back({running.job->id, running.unit->row, running.unit->run});
--- a/libraries/dispatch/preemptor.h
+++ b/libraries/dispatch/preemptor.h
@@ -76,7 +76,7 @@
     void add_ending(const job_run& job, const work_unit& unit, boot_time now);
     void allow_preemption_for(const asking_unit& asking);
     void stop_victims(const asking_unit& asking, const preemption_plan& plan, boot_time now);
-    [[nodiscard]] bool keeps_reservation(const work_unit& unit, boot_time now);
+    [[nodiscard]] bool keeps_reservation(work_unit& unit, boot_time now);
     [[nodiscard]] bool is_still_running(const awaited_run& awaited);
     void await_victims(work_unit& unit, const preemption_plan& plan, boot_time until);
     void reserve(const asking_unit& asking, std::span<const std::size_t> places, bool is_drain, boot_time now);
