--- a/libraries/dispatch/preemptor.cpp
+++ b/libraries/dispatch/preemptor.cpp
@@ -43,7 +43,7 @@
 constexpr milliseconds placement_grace{300};
 
 // A starving unit's reservation is kept at most this long while the tasks on its executors end by themselves.
-constexpr milliseconds drain_wait_limit{10'000};
+constexpr milliseconds drain_wait_limit{20'000};
 
 // Number of such reservations at a time; more would leave too much of the fleet idle.
 constexpr std::size_t drain_limit = 2;
@@ -114,8 +114,7 @@
     std::erase_if(this->held, [this, now](held_reservation& reservation) {
         reservation.is_applied = false;
         job_run* job = this->tracker.find(reservation.job);
-        work_unit* unit =
-            job == nullptr || is_final(job->phase) ? nullptr : job->units.find(reservation.unit_row);
+        work_unit* unit = job == nullptr || is_final(job->phase) ? nullptr : job->units.find(reservation.unit_row);
         return unit == nullptr || !this->keeps_reservation(*unit, now);
     });
 }
@@ -272,6 +271,10 @@
         return true;
     if (!this->is_bounded || now >= unit.awaited_until)
         return false;
+    // An executor that no longer answers will not report the end.
+    if (!std::ranges::all_of(unit.reserved_on,
+                             [this](const std::string& id) { return this->capacities.find_row(id).has_value(); }))
+        return false;
     if (std::ranges::any_of(unit.awaited_runs,
                             [this](const awaited_run& awaited) { return this->is_still_running(awaited); }))
         unit.awaited_seen_at = now;
@@ -449,7 +452,10 @@
     if (!this->is_worth(asking, *plan, is_first_attempt, now))
         return;
     if (this->is_bounded) {
-        this->await_victims(unit, *plan, now + stop_wait_limit);
+        // Guaranteed work plans anew after reservation_time, as without bounds: its time is short, and tasks that are
+        // stopping cost a plan nothing.
+        if (waiting.rank != work_rank::guaranteed_urgent)
+            this->await_victims(unit, *plan, now + stop_wait_limit);
         this->budget.charge(asking.request, plan->cost, now);
         if (asking.is_override)
             this->budget.record_override(now);
--- a/tests/dispatch/preemption_budget_test.cpp
+++ b/tests/dispatch/preemption_budget_test.cpp
@@ -150,8 +150,8 @@
             }
             this->saved_ms[task] = saved;
             this->stopping.erase(task);
-            report.ended.push_back({++this->ends, task, reference.run,
-                                    is_stopped ? run_outcome::stopped : run_outcome::done, checkpoint});
+            report.ended.push_back(
+                {++this->ends, task, reference.run, is_stopped ? run_outcome::stopped : run_outcome::done, checkpoint});
         }
         this->dispatch.handle_poll_report(id, report, this->now, this->now);
     }
@@ -432,7 +432,8 @@
     std::string expected;
     for (const std::string& id : background) {
         const work_unit& unit = fleet.dispatch.job_runs().find(id)->units[0];
-        const double age = static_cast<double>((fleet.now - unit.checkpoint_changed_at.value_or(unit.placed_at)).count());
+        const double age =
+            static_cast<double>((fleet.now - unit.checkpoint_changed_at.value_or(unit.placed_at)).count());
         if (age < lowest) {
             lowest = age;
             expected = id;
@@ -494,9 +495,9 @@
     const auto draw = [&random](std::uint32_t limit) { return static_cast<std::uint32_t>(random() % limit); };
     for (int second = 0; second < 120; ++second) {
         const std::uint32_t priority = draw(3);
-        records::Submission submission = crowded_fleet::make_submission(
-            "q" + std::to_string(priority), draw(3) == 0 ? "guaranteed" : "other", 1 + draw(4), 1U << draw(4),
-            1'000 + 500 * draw(10), draw(2) == 0);
+        records::Submission submission =
+            crowded_fleet::make_submission("q" + std::to_string(priority), draw(3) == 0 ? "guaranteed" : "other",
+                                           1 + draw(4), 1U << draw(4), 1'000 + 500 * draw(10), draw(2) == 0);
         submission.mutable_steps(0)->set_checkpointing(draw(2) == 0);
         fleet.add(submission);
         fleet.pass(500);
