Accounts above an equal share of a short pool are served later

Cause: the queue sorts by rank and slack only, so an account that floods the fleet delays all others alike.

--- a/libraries/base/metrics.cpp
+++ b/libraries/base/metrics.cpp
@@ -35,6 +35,13 @@
     this->gauges.insert_or_assign(std::string(series), value);
 }
 
+void metrics::remove_gauge(std::string_view series)
+{
+    const std::lock_guard lock(this->mutex);
+    if (const auto found = this->gauges.find(series); found != this->gauges.end())
+        this->gauges.erase(found);
+}
+
 void metrics::observe_ms(std::string_view name, double value_ms)
 {
     const std::lock_guard lock(this->mutex);
--- a/libraries/base/metrics.h
+++ b/libraries/base/metrics.h
@@ -18,6 +18,8 @@
     // `series` is a full series name such as `wigeon_refusals_total{reason="queue_full"}`.
     void count(std::string_view series, std::uint64_t amount = 1);
     void set_gauge(std::string_view series, double value);
+    // Does nothing if there is no such gauge.
+    void remove_gauge(std::string_view series);
     void observe_ms(std::string_view name, double value_ms);
 
     [[nodiscard]] std::uint64_t read_count(std::string_view series) const;
--- a/libraries/dispatch/dispatcher.cpp
+++ b/libraries/dispatch/dispatcher.cpp
@@ -4,7 +4,9 @@
 #include "dispatch/dispatcher.h"
 
 #include <algorithm>
+#include <iomanip>
 #include <limits>
+#include <sstream>
 #include <utility>
 
 #include "jobs/job_table.h"
@@ -210,6 +212,18 @@
     return executors;
 }
 
+// What the `placed` event states of the account's share; empty unless the shares affect the order.
+std::string dispatcher::describe_share(const job_run& job) const
+{
+    if (!this->limits.options.shares_by_account || !this->shares.is_short(job.policy.pool))
+        return {};
+    const std::string& account = job.submission.account();
+    std::ostringstream text;
+    text << " account=" << account << " share=" << std::fixed << std::setprecision(2)
+         << this->shares.find_share(job.policy.pool, account);
+    return text.str();
+}
+
 // Places the step's waiting units in order until one does not fit or the round has placed enough.
 void dispatcher::place_step(const waiting_step& waiting, boot_time now)
 {
@@ -238,7 +252,8 @@
                          " step=" + std::to_string(waiting.job->steps[waiting.step_row].step) +
                          " run=" + std::to_string(highest_run) + " tasks=" + std::to_string(placed) + " waited_ms=" +
                          std::to_string(waited.count()) + " slack_ms=" + std::to_string(waiting.slack.count()) +
-                         " estimate_ms=" + std::to_string(step.estimate_ms()) + " on=" + executors);
+                         " estimate_ms=" + std::to_string(step.estimate_ms()) + this->describe_share(*waiting.job) +
+                         " on=" + executors);
 }
 
 // Stops stalled units, so that they are placed elsewhere.
@@ -310,7 +325,11 @@
     this->advice.begin_round();
     this->preemption.begin_round();
     this->placed_in_round = 0;
-    for (const waiting_step& waiting : this->pending_work.list(this->tracker, now)) {
+    const bool uses_shares = this->limits.options.shares_by_account;
+    if (uses_shares)
+        this->shares.update(this->tracker, this->capacities.all(), now);
+    for (const waiting_step& waiting :
+         this->pending_work.list(this->tracker, now, uses_shares ? &this->shares : nullptr)) {
         if (this->placed_in_round >= max_placed_per_round)
             break;
         this->place_step(waiting, now);
--- a/libraries/dispatch/dispatcher.h
+++ b/libraries/dispatch/dispatcher.h
@@ -13,6 +13,7 @@
 #include <string_view>
 #include <vector>
 
+#include "dispatch/account_shares.h"
 #include "dispatch/advice_broker.h"
 #include "dispatch/capacity_table.h"
 #include "dispatch/dispatch_event.h"
@@ -140,6 +141,9 @@
     [[nodiscard]] milliseconds max_stop_time() const { return this->limits.max_stop_time; }
     [[nodiscard]] run_tracker& job_runs() { return this->tracker; }
 
+    // Updated in each round with dispatch_options::shares_by_account; otherwise empty.
+    [[nodiscard]] const account_shares& accounts() const { return this->shares; }
+
     // Number of unresolved tasks on the executor.
     [[nodiscard]] std::size_t count_tasks_on(std::string_view executor) const
     {
@@ -158,6 +162,7 @@
     void place_step(const waiting_step& waiting, boot_time now);
     std::optional<std::vector<std::string>> place_unit(const waiting_step& waiting, std::uint32_t unit_row,
                                                        boot_time now);
+    [[nodiscard]] std::string describe_share(const job_run& job) const;
     [[nodiscard]] bool collect_job_records(dispatch_changes& changes);
     [[nodiscard]] bool collect_unit_records(dispatch_changes& changes);
     [[nodiscard]] bool collect_units_of(job_run& job, dispatch_changes& changes, std::size_t& bytes);
@@ -176,6 +181,7 @@
     std::set<std::string, std::less<>> known_pools;
     // Rebuilt or updated in each round.
     capacity_table capacities;
+    account_shares shares;
     work_queue pending_work;
     advice_broker advice;
     std::vector<placement_need> unplaced_needs; // Did not fit in this round.
--- a/libraries/dispatch/queue_order.cpp
+++ b/libraries/dispatch/queue_order.cpp
@@ -12,6 +12,10 @@
 // not starve. A fifth of the deadline of the users' batch jobs (3 x 8 s of work).
 constexpr milliseconds background_penalty{5'000};
 
+// A job whose result would become worthless within this time, if it did not start, has no penalty for its account's
+// share. The time within which room for it becomes free on a full fleet of hundreds of tasks that run for seconds.
+constexpr milliseconds rescue_time{1'000};
+
 // Tiers of the key, first to last. Urgent ranks come before all others while they are useful.
 enum tier : std::uint8_t { guaranteed, urgent_on_time, urgent_late, on_time, late, expired };
 
@@ -37,23 +41,28 @@
     return "unknown";
 }
 
-order_key make_order_key(const job_timing& timing, boot_time now)
+order_key make_order_key(const job_timing& timing, boot_time now, milliseconds share_penalty)
 {
     const milliseconds slack = timing.deadline - now - timing.critical_path;
-    const bool is_useful = now + timing.critical_path < timing.useful_until;
+    const milliseconds useful_time = timing.useful_until - now - timing.critical_path; // Left for its start.
+    const bool is_useful = useful_time > milliseconds(0);
+    // Jobs that are too late to be useful are served by arrival, whoever submitted them.
+    if (useful_time <= rescue_time)
+        share_penalty = milliseconds(0);
     const std::int64_t arrival_ms = timing.arrived_at.time_since_epoch().count();
     switch (timing.rank) {
     case work_rank::guaranteed_urgent:
         return {tier::guaranteed, arrival_ms};
     case work_rank::urgent:
         if (can_meet_deadline(timing, now))
-            return {tier::urgent_on_time, slack.count()};
-        return {is_useful ? tier::urgent_late : tier::expired, arrival_ms};
+            return {tier::urgent_on_time, (slack + share_penalty).count()};
+        return {is_useful ? tier::urgent_late : tier::expired, arrival_ms + share_penalty.count()};
     case work_rank::regular:
     case work_rank::background:
         break;
     }
-    const milliseconds penalty = timing.rank == work_rank::background ? background_penalty : milliseconds(0);
+    const milliseconds penalty =
+        share_penalty + (timing.rank == work_rank::background ? background_penalty : milliseconds(0));
     if (can_meet_deadline(timing, now))
         return {tier::on_time, (slack + penalty).count()};
     return {is_useful ? tier::late : tier::expired, arrival_ms + penalty.count()};
--- a/libraries/dispatch/queue_order.h
+++ b/libraries/dispatch/queue_order.h
@@ -40,7 +40,9 @@
     }
 };
 
-order_key make_order_key(const job_timing& timing, boot_time now);
+// `share_penalty` moves the job back within its tier, because its account uses more than its share. Guaranteed urgent
+// jobs, and those that are nearly too late to be useful, keep their place.
+order_key make_order_key(const job_timing& timing, boot_time now, milliseconds share_penalty = milliseconds(0));
 
 // Whether the job still ends by its deadline if it starts now.
 bool can_meet_deadline(const job_timing& timing, boot_time now);
--- a/libraries/dispatch/work_queue.cpp
+++ b/libraries/dispatch/work_queue.cpp
@@ -95,7 +95,7 @@
     return timing;
 }
 
-std::vector<waiting_step> work_queue::list(run_tracker& tracker, boot_time now) const
+std::vector<waiting_step> work_queue::list(run_tracker& tracker, boot_time now, const account_shares* shares) const
 {
     std::vector<waiting_step> waiting;
     for (auto& [id, job] : tracker.jobs()) {
@@ -107,10 +107,13 @@
                 continue;
             if (!common) {
                 const job_timing timing = this->find_timing(job);
+                const milliseconds penalty = shares == nullptr
+                                                 ? milliseconds(0)
+                                                 : shares->find_penalty(job.policy.pool, job.submission.account());
                 common = waiting_step{&job,
                                       step.row,
                                       timing.rank,
-                                      make_order_key(timing, now),
+                                      make_order_key(timing, now, penalty),
                                       can_meet_deadline(timing, now),
                                       timing.deadline - now - timing.critical_path};
             }
--- a/libraries/dispatch/work_queue.h
+++ b/libraries/dispatch/work_queue.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "dispatch/account_shares.h"
 #include "dispatch/job_run.h"
 #include "dispatch/queue_order.h"
 #include "dispatch/run_tracker.h"
@@ -30,8 +31,10 @@
 
     [[nodiscard]] work_rank find_rank(const job_run& job) const;
 
-    // Returns the waiting steps; the one to be served first is at the front.
-    [[nodiscard]] std::vector<waiting_step> list(run_tracker& tracker, boot_time now) const;
+    // Returns the waiting steps; the one to be served first is at the front. With `shares`, the work of accounts above
+    // their share moves back while their pool is short.
+    [[nodiscard]] std::vector<waiting_step> list(run_tracker& tracker, boot_time now,
+                                                 const account_shares* shares = nullptr) const;
 
 private:
     [[nodiscard]] job_timing find_timing(const job_run& job) const;
--- a/libraries/node/leader.cpp
+++ b/libraries/node/leader.cpp
@@ -46,6 +46,9 @@
 // Interval of the checks whether a heartbeat is due while a new leader prepares.
 constexpr milliseconds heartbeat_check_interval{100};
 
+// Series of wigeon_account_share. Those of the largest shares show who holds the fleet; accounts are not bounded.
+constexpr std::size_t max_share_series = 10;
+
 // One more than the term, since executors treat a missing token as 0.
 std::uint64_t make_fencing_token(std::uint64_t term)
 {
@@ -306,6 +309,7 @@
     this->maintenance_timer.cancel();
     if (was_leading)
         this->state.end_leading();
+    this->remove_share_series();
     process_metrics().set_gauge("wigeon_leading", 0);
     log_event("leading_ended", {{"term", std::to_string(this->own_term)}, {"reason", std::string(to_string(end))}});
     this->on_ended(end);
@@ -374,6 +378,28 @@
     }
 }
 
+void leader::remove_share_series()
+{
+    for (const std::string& series : this->share_series)
+        process_metrics().remove_gauge(series);
+    this->share_series.clear();
+}
+
+// The accounts of submissions are many over time, so accounts that are no longer among the largest lose their series.
+void leader::report_account_shares()
+{
+    const std::optional<boot_time> measured_at = this->job_dispatcher.accounts().last_measured_at();
+    if (!measured_at || measured_at == this->shares_reported_at)
+        return;
+    this->shares_reported_at = measured_at;
+    this->remove_share_series();
+    for (const auto& [account, share] : this->job_dispatcher.accounts().list_largest(max_share_series)) {
+        std::string series = "wigeon_account_share{account=\"" + account + "\"}";
+        process_metrics().set_gauge(series, share);
+        this->share_series.insert(std::move(series));
+    }
+}
+
 // The first decisions wait for most executors, up to a limit, so that their free resources are known.
 bool leader::may_decide(boot_time now) const
 {
@@ -414,6 +440,7 @@
     this->sessions->send_stops(now);
     this->sweeper->sweep(now);
     this->report_evacuated_tasks();
+    this->report_account_shares();
     this->log_events();
     if (this->stage == phase::leading && !this->is_round_scheduled) {
         this->maintenance_timer.expires_after(maintenance_interval);
--- a/libraries/node/leader.h
+++ b/libraries/node/leader.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -100,6 +101,8 @@
     [[nodiscard]] bool may_decide(boot_time now) const;
     void update_evacuations();
     void report_evacuated_tasks() const;
+    void report_account_shares();
+    void remove_share_series();
 
     advice_service& advisor;
     node_state& state;
@@ -127,6 +130,8 @@
     std::optional<dispatch_changes> pending_changes; // What takes effect once the append in flight is stored.
     // Not restored so far. While leading, those of jobs that are gone; their records are removed.
     unit_progress_map loaded_units;
+    std::set<std::string> share_series; // Gauges of the accounts with the largest shares.
+    std::optional<boot_time> shares_reported_at;
     std::string last_restored_job; // While preparing; jobs are restored in the order of their ids.
 };
 
