--- a/libraries/dispatch/queue_order.cpp
+++ b/libraries/dispatch/queue_order.cpp
@@ -12,9 +12,19 @@
 // not starve. A fifth of the deadline of the users' batch jobs (3 x 8 s of work).
 constexpr milliseconds background_penalty{5'000};
 
-// A job whose result would become worthless within this time, if it did not start, has no penalty for its account's
-// share. The time within which room for it becomes free on a full fleet of hundreds of tasks that run for seconds.
-constexpr milliseconds rescue_time{1'000};
+// A job that can still meet its deadline, but only if it starts within this time, has no penalty for its account's
+// share: jobs that have become late wait for all that have not, so on a fleet that stays full they would not start at
+// all. The smallest time that a deadline leaves beside the work.
+constexpr milliseconds on_time_rescue{250};
+
+// The same for a late job, whose result would become worthless. Late work finds room more slowly.
+constexpr milliseconds useful_rescue{1'000};
+
+// Whether a delay would cost the job its deadline, or all its use.
+bool has_to_start_soon(milliseconds slack, milliseconds useful_time)
+{
+    return slack >= milliseconds(0) ? slack <= on_time_rescue : useful_time <= useful_rescue;
+}
 
 // Tiers of the key, first to last. Urgent ranks come before all others while they are useful.
 enum tier : std::uint8_t { guaranteed, urgent_on_time, urgent_late, on_time, late, expired };
@@ -46,8 +56,7 @@
     const milliseconds slack = timing.deadline - now - timing.critical_path;
     const milliseconds useful_time = timing.useful_until - now - timing.critical_path; // Left for its start.
     const bool is_useful = useful_time > milliseconds(0);
-    // Jobs that are too late to be useful are served by arrival, whoever submitted them.
-    if (useful_time <= rescue_time)
+    if (has_to_start_soon(slack, useful_time))
         share_penalty = milliseconds(0);
     const std::int64_t arrival_ms = timing.arrived_at.time_since_epoch().count();
     switch (timing.rank) {
--- a/libraries/dispatch/queue_order.h
+++ b/libraries/dispatch/queue_order.h
@@ -41,7 +41,7 @@
 };
 
 // `share_penalty` moves the job back within its tier, because its account uses more than its share. Guaranteed urgent
-// jobs, and those that are nearly too late to be useful, keep their place.
+// jobs, and those that are nearly late or nearly worthless, keep their place.
 order_key make_order_key(const job_timing& timing, boot_time now, milliseconds share_penalty = milliseconds(0));
 
 // Whether the job still ends by its deadline if it starts now.
