--- a/benchmarks/measure_dispatch.cpp
+++ b/benchmarks/measure_dispatch.cpp
@@ -1,12 +1,13 @@
 // Measures how long the leader takes on a full fleet for a scheduling round, for collecting and confirming its changes,
 // and for handling one poll report.
-// Usage: measure-dispatch [executors] [waiting jobs]
+// Usage: measure-dispatch [executors] [waiting jobs] [shares]
 
 #include <chrono>
 #include <cstdio>
 #include <cstdlib>
 #include <random>
 #include <string>
+#include <string_view>
 
 #include "dispatch/dispatcher.h"
 
@@ -41,11 +42,13 @@
     return submission;
 }
 
-void measure(int executors, int jobs)
+void measure(int executors, int jobs, bool uses_shares)
 {
     boot_time now{milliseconds(1'000'000)};
     std::mt19937_64 random(20261204);
-    dispatcher job_dispatcher(limits, now);
+    dispatch_limits options_and_limits = limits;
+    options_and_limits.options.shares_by_account = uses_shares;
+    dispatcher job_dispatcher(options_and_limits, now);
     fleet_policy policy;
     for (std::uint32_t priority = 0; priority < 3; ++priority) {
         queue_policy queue;
@@ -124,5 +127,5 @@
 {
     const int executors = argc > 1 ? std::atoi(argv[1]) : 350;
     const int jobs = argc > 2 ? std::atoi(argv[2]) : 1'000;
-    wigeon::measure(executors, jobs);
+    wigeon::measure(executors, jobs, argc > 3 && std::string_view(argv[3]) == "shares");
 }
--- a/tests/dispatch/account_shares_test.cpp
+++ b/tests/dispatch/account_shares_test.cpp
@@ -404,6 +404,7 @@
     fill(former);
     shared_fleet successor;
     successor.now = former.now;
+    successor.jobs = former.jobs;
     for (const auto& [id, job] : former.dispatch.job_runs().jobs())
         successor.dispatch.add_job(id, job.submission, job.make_record(), 0, successor.now);
     const std::string next_of_flood = successor.add("flood", "q1", 1, 2'000);
