account_shares: waiting work is counted in the pass that lists it

Change: work_queue::list counts what it visits anyway, and computes a second key only for accounts with a penalty.

--- a/libraries/dispatch/account_shares.cpp
+++ b/libraries/dispatch/account_shares.cpp
@@ -6,8 +6,6 @@
 #include <cmath>
 #include <utility>
 
-#include "jobs/job_table.h"
-
 namespace wigeon {
 
 namespace {
@@ -72,33 +70,20 @@
     }
 }
 
-void account_shares::count_waiting(const run_tracker& tracker)
+void account_shares::begin_waiting()
 {
     for (auto& [name, pool] : this->pools) {
         pool.waiting_accelerators = 0;
         for (auto& [account, state] : pool.accounts)
             state.has_waiting = false;
     }
-    for (const auto& [id, job] : tracker.jobs()) {
-        if (is_final(job.phase))
-            continue;
-        std::int64_t accelerators = 0;
-        bool has_waiting = false;
-        for (const step_run& step : job.steps) {
-            if (step.waiting.empty())
-                continue;
-            has_waiting = true;
-            // The units of a step are of equal size.
-            const work_unit& unit = job.units[step.waiting.front()];
-            accelerators += static_cast<std::int64_t>(step.waiting.size()) * unit.task_count *
-                            find_task_resources(job.step_of(unit)).accelerators;
-        }
-        if (!has_waiting)
-            continue;
-        pool_state& pool = this->pools.try_emplace(job.policy.pool).first->second;
-        pool.waiting_accelerators += accelerators;
-        this->state_of(pool, job.submission.account()).has_waiting = true;
-    }
+}
+
+void account_shares::add_waiting(const std::string& pool, const std::string& account, std::int64_t accelerators)
+{
+    pool_state& entry = this->pools.try_emplace(pool).first->second;
+    entry.waiting_accelerators += accelerators;
+    this->state_of(entry, account).has_waiting = true;
 }
 
 // Tasks that may run count as well, which includes all that a new leader has not heard of yet.
@@ -150,7 +135,7 @@
     });
 }
 
-void account_shares::count_accounts()
+void account_shares::end_waiting()
 {
     for (auto& [name, pool] : this->pools) {
         pool.waiting_accounts = 0;
@@ -165,13 +150,17 @@
 void account_shares::update(const run_tracker& tracker, std::span<const executor_capacity> executors, boot_time now)
 {
     this->count_capacity(executors);
-    this->count_waiting(tracker);
     if (!this->measured_at || now - *this->measured_at >= measuring_interval) {
         this->count_running(tracker);
         this->average_shares(this->measured_at ? now - *this->measured_at : milliseconds(0));
         this->measured_at = now;
     }
-    this->count_accounts();
+}
+
+bool account_shares::is_any_short() const
+{
+    return std::any_of(this->pools.begin(), this->pools.end(),
+                       [this](const auto& entry) { return this->is_short(entry.first); });
 }
 
 bool account_shares::is_short(std::string_view pool) const
--- a/libraries/dispatch/account_shares.h
+++ b/libraries/dispatch/account_shares.h
@@ -28,12 +28,19 @@
 
 class account_shares {
 public:
-    // Called in each round. `executors` are those of the round before anything is placed in it. The first call in which
-    // a pool has executors sets its shares at once, as after a change of leader.
+    // Called in each round, before the waiting work is counted. `executors` are those of the round before anything is
+    // placed in it. The first call in which a pool has executors sets its shares at once, as after a change of leader.
     void update(const run_tracker& tracker, std::span<const executor_capacity> executors, boot_time now);
 
+    // Count the waiting work of a round anew: the accelerators that waiting units of each job request. The order of the
+    // queue is computed from a pass over the same work, which is why this has no pass of its own.
+    void begin_waiting();
+    void add_waiting(const std::string& pool, const std::string& account, std::int64_t accelerators);
+    void end_waiting();
+
     // Whether at least two accounts have work that waits for the pool, and it asks for more accelerators than are free.
     [[nodiscard]] bool is_short(std::string_view pool) const;
+    [[nodiscard]] bool is_any_short() const;
 
     // The largest of the account's parts of the pool's cores, memory and accelerators, between 0 and 1, averaged over
     // the last seconds. 0 for an account that is not known.
@@ -65,7 +72,7 @@
     struct account_state {
         resources used;           // By tasks that run or may run.
         bool has_running = false; // This and `used` are as of the last measurement.
-        bool has_waiting = false; // As of the last update.
+        bool has_waiting = false; // As of the last count.
         double share = 0;
     };
 
@@ -83,10 +90,8 @@
     [[nodiscard]] const pool_state* find_pool(std::string_view pool) const;
     [[nodiscard]] account_state& state_of(pool_state& pool, const std::string& account);
     void count_capacity(std::span<const executor_capacity> executors);
-    void count_waiting(const run_tracker& tracker);
     void count_running(const run_tracker& tracker);
     void average_shares(milliseconds passed);
-    void count_accounts();
 
     std::map<std::string, pool_state, std::less<>> pools;
     std::optional<boot_time> measured_at;
--- a/libraries/dispatch/work_queue.cpp
+++ b/libraries/dispatch/work_queue.cpp
@@ -95,31 +95,60 @@
     return timing;
 }
 
-std::vector<waiting_step> work_queue::list(run_tracker& tracker, boot_time now, const account_shares* shares) const
+// Moves the work of accounts above their share back.
+void work_queue::apply_shares(std::vector<waiting_step>& waiting, const account_shares& shares, boot_time now) const
+{
+    const job_run* last = nullptr;
+    milliseconds penalty{0};
+    order_key key;
+    for (waiting_step& step : waiting) {
+        // The steps of a job are neighbors and have the same key.
+        if (step.job != last) {
+            last = step.job;
+            key = step.key;
+            penalty = shares.find_penalty(step.job->policy.pool, step.job->submission.account());
+            if (penalty > milliseconds(0))
+                key = make_order_key(this->find_timing(*step.job), now, penalty);
+        }
+        step.key = key;
+    }
+}
+
+std::vector<waiting_step> work_queue::list(run_tracker& tracker, boot_time now, account_shares* shares) const
 {
     std::vector<waiting_step> waiting;
+    if (shares != nullptr)
+        shares->begin_waiting();
     for (auto& [id, job] : tracker.jobs()) {
         if (is_final(job.phase))
             continue;
         std::optional<waiting_step> common; // What all steps of the job share.
+        std::int64_t accelerators = 0;      // Requested by its waiting units.
         for (const step_run& step : job.steps) {
             if (step.waiting.empty())
                 continue;
             if (!common) {
                 const job_timing timing = this->find_timing(job);
-                const milliseconds penalty = shares == nullptr
-                                                 ? milliseconds(0)
-                                                 : shares->find_penalty(job.policy.pool, job.submission.account());
                 common = waiting_step{&job,
                                       step.row,
                                       timing.rank,
-                                      make_order_key(timing, now, penalty),
+                                      make_order_key(timing, now),
                                       can_meet_deadline(timing, now),
                                       timing.deadline - now - timing.critical_path};
             }
             common->step_row = step.row;
             waiting.push_back(*common);
+            const records::Step& submitted = job.submission.steps(static_cast<int>(step.step));
+            const std::uint32_t tasks_per_unit = submitted.gang() ? std::max(1U, submitted.count()) : 1;
+            accelerators += static_cast<std::int64_t>(step.waiting.size()) * tasks_per_unit * submitted.accelerators();
         }
+        if (common && shares != nullptr)
+            shares->add_waiting(job.policy.pool, job.submission.account(), accelerators);
+    }
+    if (shares != nullptr) {
+        shares->end_waiting();
+        if (shares->is_any_short())
+            this->apply_shares(waiting, *shares, now);
     }
     std::sort(waiting.begin(), waiting.end(), [](const waiting_step& left, const waiting_step& right) {
         return std::tie(left.key, left.job->id, left.step_row) < std::tie(right.key, right.job->id, right.step_row);
--- a/libraries/dispatch/work_queue.h
+++ b/libraries/dispatch/work_queue.h
@@ -31,13 +31,14 @@
 
     [[nodiscard]] work_rank find_rank(const job_run& job) const;
 
-    // Returns the waiting steps; the one to be served first is at the front. With `shares`, the work of accounts above
-    // their share moves back while their pool is short.
+    // Returns the waiting steps; the one to be served first is at the front. Counts them in `shares`, if given; the
+    // work of accounts above their share then moves back while their pool is short.
     [[nodiscard]] std::vector<waiting_step> list(run_tracker& tracker, boot_time now,
-                                                 const account_shares* shares = nullptr) const;
+                                                 account_shares* shares = nullptr) const;
 
 private:
     [[nodiscard]] job_timing find_timing(const job_run& job) const;
+    void apply_shares(std::vector<waiting_step>& waiting, const account_shares& shares, boot_time now) const;
 
     // An account's guaranteed accelerators, and the accelerators that its unfinished urgent jobs ask for.
     struct urgent_account {
--- a/tests/dispatch/account_shares_test.cpp
+++ b/tests/dispatch/account_shares_test.cpp
@@ -414,7 +414,8 @@
     BOOST_TEST(successor.dispatch.accounts().find_share("pool", "flood") > 0.9);
     BOOST_TEST(successor.dispatch.accounts().is_short("pool"));
     work_queue queue;
-    const auto order = queue.list(successor.dispatch.job_runs(), successor.now, &successor.dispatch.accounts());
+    account_shares shares = successor.dispatch.accounts();
+    const auto order = queue.list(successor.dispatch.job_runs(), successor.now, &shares);
     BOOST_REQUIRE(order.size() >= 2U);
     BOOST_TEST(order.front().job->id == of_other);
 }
