--- a/libraries/dispatch/dispatcher.cpp
+++ b/libraries/dispatch/dispatcher.cpp
@@ -169,13 +169,17 @@
     std::optional<double> tightest_stretch;
     for (const queue_policy& queue : this->policy.queues)
         tightest_stretch = std::min(tightest_stretch.value_or(queue.stretch), queue.stretch);
-    const bool has_changed = this->executor_speeds.update(tightest_stretch, now);
+    this->executor_speeds.update(tightest_stretch, now);
     this->capacities.mark_speeds(this->executor_speeds, now);
-    if (!has_changed || (this->evenness_reported_at && now - *this->evenness_reported_at < evenness_report_interval))
+    const bool is_uneven = this->executor_speeds.is_uneven();
+    if (is_uneven == this->reported_uneven ||
+        (this->evenness_reported_at && now - *this->evenness_reported_at < evenness_report_interval))
         return;
+    this->reported_uneven = is_uneven;
     this->evenness_reported_at = now;
-    this->events.add(this->executor_speeds.is_uneven() ? "fleet_uneven" : "fleet_even", {},
-                     "tightest_stretch=" + std::to_string(tightest_stretch.value_or(0)));
+    this->events.add(is_uneven ? "fleet_uneven" : "fleet_even", {},
+                     "tightest_stretch=" + std::to_string(tightest_stretch.value_or(0)) +
+                         " slow_multiple=" + std::to_string(this->executor_speeds.slow_multiple()));
 }
 
 std::vector<std::size_t> dispatcher::count_speed_classes() const
--- a/libraries/dispatch/dispatcher.h
+++ b/libraries/dispatch/dispatcher.h
@@ -194,6 +194,7 @@
     zone_evacuations evacuations;
     bool has_current_evacuations = true; // When the last round was decided.
     executor_speed executor_speeds;      // Empty unless the options say that placement uses it.
+    bool reported_uneven = false;        // What the last event about the fleet's evenness said.
     std::optional<boot_time> evenness_reported_at;
 };
 
--- a/libraries/dispatch/executor_speed.cpp
+++ b/libraries/dispatch/executor_speed.cpp
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
+#include <numbers>
+#include <utility>
 
 namespace wigeon {
 
@@ -38,6 +40,9 @@
 constexpr std::size_t max_ended_samples = 12;
 constexpr milliseconds max_sample_age{30'000};
 
+// Slower executors are known to be so by a factor of 8 at most. A task that is stuck must not set a larger multiple.
+const double max_log_multiple = std::log(10.0);
+
 // Samples that differ more from the executor's median don't count: the task is odd, not the executor.
 const double max_deviation = std::log(1.8);
 
@@ -82,6 +87,21 @@
     return (*middle + *std::max_element(values.begin(), middle)) / 2;
 }
 
+// The mean of the values that lie near their median. It uses the values better than the median does.
+double find_center(std::vector<double>& values)
+{
+    const double median = find_median(values);
+    double sum = 0;
+    double count = 0;
+    for (const double value : values) {
+        if (std::abs(value - median) > max_deviation)
+            continue;
+        sum += value;
+        ++count;
+    }
+    return count > 0 ? sum / count : median;
+}
+
 double find_weight(double percent)
 {
     const double error = rounding_error_percent / percent;
@@ -94,6 +114,24 @@
     return std::log(percent * ms_per_second / static_cast<double>(duration.count()));
 }
 
+// The expected logarithm of a rate that is only known to be at least `bound`, given the rate that is expected without
+// that knowledge, and the part of a sample that the knowledge is worth.
+struct imputed_rate {
+    double log_rate = 0;
+    double information = 0;
+};
+
+imputed_rate impute(double bound, double expected)
+{
+    const double deviation = std::sqrt(work_variance);
+    // Beyond this the bound can't be met by the variation of the work, and the quotient below loses its precision.
+    constexpr double max_distance = 4;
+    const double distance = std::min((bound - expected) / deviation, max_distance);
+    const double density = std::exp(-distance * distance / 2) / std::sqrt(2 * std::numbers::pi);
+    const double hazard = density / (std::erfc(distance / std::numbers::sqrt2) / 2);
+    return {std::max(expected + deviation * hazard, bound), std::clamp(hazard * (hazard - distance), 0.0, 1.0)};
+}
+
 // Part of an estimate that is left at this age.
 double find_freshness(double log_multiple, milliseconds age)
 {
@@ -159,8 +197,9 @@
         state.ended.erase(state.ended.begin());
 }
 
-// A task that ended between two reports has ended at an unknown time between them. Its rate up to the middle of that
-// time counts if there is no rate from reports.
+// A task that ended between two reports has ended at an unknown time between them, and has started at an unknown time
+// before its first report. If there is no rate from reports, both give a lower bound of it. Without these bounds, only
+// the tasks with most work would count on a fast executor, and it would seem slower than it is.
 void executor_speed::sample_end(executor_state& state, const tracked_task& task, milliseconds clock, boot_time now)
 {
     if (task.is_bound)
@@ -171,15 +210,13 @@
     }
     if (task.points.empty())
         return;
-    const milliseconds half = (clock - task.points.back().clock) / 2;
-    const milliseconds duration = task.points.back().clock + half - task.points.front().clock;
-    const std::uint32_t gained = complete_percent - task.points.front().percent;
-    if (duration < min_sample_time || gained < min_sample_percent)
-        return;
-    const double time_error = static_cast<double>(half.count()) / static_cast<double>(duration.count());
+    const progress_point& first = task.points.front();
     rate_sample sample = task.sample;
-    sample.log_rate = find_log_rate(gained, duration);
-    sample.weight = work_variance / (work_variance + time_error * time_error / 3);
+    sample.log_rate = find_log_rate(std::max<double>(complete_percent - first.percent, 1), clock - first.clock);
+    if (task.absent_at > milliseconds(0) && task.first_percent == 0)
+        sample.log_rate = std::max(sample.log_rate, find_log_rate(first.percent, first.clock - task.absent_at));
+    sample.weight = 1;
+    sample.is_lower_bound = true;
     sample.taken_at = now;
     keep_ended(state, sample);
     state.newest_sample = now;
@@ -228,7 +265,7 @@
     executor_state& state = found->second;
     if (incarnation_ms < state.incarnation_ms || clock <= state.clock)
         return;
-    state.clock = clock;
+    const milliseconds former_clock = std::exchange(state.clock, clock);
     std::size_t compared = 0;
     std::size_t slowed = 0;
     std::size_t sped_up = 0;
@@ -243,6 +280,7 @@
             task.task = observed.task;
             task.run = observed.run;
             task.is_bound = observed.is_bound;
+            task.absent_at = former_clock;
             task.first_percent = observed.is_resumed ? observed.percent : 0;
             task.sample.step = this->find_step(observed);
             state.running.push_back(std::move(task));
@@ -278,6 +316,8 @@
     std::vector<double> recent;
     std::vector<double> former;
     const auto add = [&recent, &former, now](const rate_sample& sample) {
+        if (sample.is_lower_bound)
+            return;
         (now - sample.taken_at <= recent_time ? recent : former).push_back(sample.step->level - sample.log_rate);
     };
     for (const rate_sample& sample : state.ended)
@@ -294,13 +334,20 @@
     std::erase_if(state.ended, [now](const rate_sample& sample) { return now - sample.taken_at > recent_time; });
 }
 
+double executor_speed::find_rate(const rate_sample& sample, const executor_state& state)
+{
+    if (!sample.is_lower_bound)
+        return sample.log_rate;
+    return impute(sample.log_rate, sample.step->level - state.log_multiple).log_rate;
+}
+
 void executor_speed::compute_levels()
 {
     for (auto& [name, step] : this->steps)
         step->scratch.clear();
     for (const auto& [id, state] : this->executors) {
         for (const rate_sample& sample : state.ended)
-            sample.step->scratch.push_back(sample.log_rate + state.log_multiple);
+            sample.step->scratch.push_back(find_rate(sample, state) + state.log_multiple);
         for (const tracked_task& task : state.running) {
             if (task.sample.weight > 0 && !task.is_bound)
                 task.sample.step->scratch.push_back(task.sample.log_rate + state.log_multiple);
@@ -311,7 +358,7 @@
             continue;
         const auto count = static_cast<double>(step->scratch.size());
         step->level =
-            (find_median(step->scratch) * count + step->expected * estimate_weight) / (count + estimate_weight);
+            (find_center(step->scratch) * count + step->expected * estimate_weight) / (count + estimate_weight);
     }
 }
 
@@ -320,9 +367,12 @@
     std::vector<double> values;
     std::vector<double> weights;
     double bound = std::numeric_limits<double>::infinity();
-    const auto add = [&values, &weights](const rate_sample& sample) {
-        values.push_back(sample.step->level - sample.log_rate);
-        weights.push_back(sample.weight);
+    const auto add = [&values, &weights, &state](const rate_sample& sample) {
+        const double level = sample.step->level;
+        const imputed_rate imputed = sample.is_lower_bound ? impute(sample.log_rate, level - state.log_multiple)
+                                                           : imputed_rate{sample.log_rate, sample.weight};
+        values.push_back(level - imputed.log_rate);
+        weights.push_back(imputed.information);
     };
     for (const rate_sample& sample : state.ended)
         add(sample);
@@ -347,7 +397,7 @@
         }
         state.log_multiple = sum / (state.weight + state.prior_weight + median_weight);
     }
-    state.log_multiple = std::min(state.log_multiple, bound);
+    state.log_multiple = std::clamp(std::min(state.log_multiple, bound), -max_log_multiple, max_log_multiple);
 }
 
 // Multiples are relative to the fleet's median. An executor without samples keeps its former multiple.
@@ -365,6 +415,13 @@
         state.log_multiple -= state.weight > 0 ? median : 0;
 }
 
+double executor_speed::slow_multiple() const
+{
+    if (this->known_multiples.size() < min_known_executors)
+        return 1;
+    return std::exp(find_percentile(this->known_multiples, 0.9) - find_percentile(this->known_multiples, 0.5));
+}
+
 void executor_speed::update_evenness(std::optional<double> tightest_stretch, boot_time now)
 {
     this->known_multiples.clear();
@@ -374,9 +431,9 @@
     }
     std::sort(this->known_multiples.begin(), this->known_multiples.end());
     bool is_measured_uneven = false;
-    if (tightest_stretch && *tightest_stretch > 1 && this->known_multiples.size() >= min_known_executors) {
-        const double slow = find_percentile(this->known_multiples, 0.9) - find_percentile(this->known_multiples, 0.5);
-        is_measured_uneven = slow >= std::log(*tightest_stretch) - (this->counts_as_uneven ? evenness_hysteresis : 0);
+    if (tightest_stretch && *tightest_stretch > 1) {
+        const double limit = std::log(*tightest_stretch) - (this->counts_as_uneven ? evenness_hysteresis : 0);
+        is_measured_uneven = std::log(this->slow_multiple()) >= limit;
     }
     if (is_measured_uneven == this->counts_as_uneven) {
         this->differs_since.reset();
@@ -390,10 +447,10 @@
     this->differs_since.reset();
 }
 
-bool executor_speed::update(std::optional<double> tightest_stretch, boot_time now)
+void executor_speed::update(std::optional<double> tightest_stretch, boot_time now)
 {
     if (this->updated_at && now - *this->updated_at < speed_update_interval)
-        return false;
+        return;
     this->updated_at = now;
     for (auto& [id, state] : this->executors)
         drop_old_samples(state, now);
@@ -406,9 +463,7 @@
         this->center_multiples(now);
     }
     std::erase_if(this->steps, [](const auto& entry) { return entry.second.use_count() == 1; });
-    const bool was_uneven = this->counts_as_uneven;
     this->update_evenness(tightest_stretch, now);
-    return this->counts_as_uneven != was_uneven;
 }
 
 speed_estimate executor_speed::find(std::string_view executor, boot_time now) const
--- a/libraries/dispatch/executor_speed.h
+++ b/libraries/dispatch/executor_speed.h
@@ -63,8 +63,8 @@
     void remove(std::string_view executor);
 
     // Computes the estimates anew if the last computation is speed_update_interval old. `tightest_stretch` is the
-    // smallest stretch of any queue; none: there is no queue. Returns whether is_uneven() has changed.
-    bool update(std::optional<double> tightest_stretch, boot_time now);
+    // smallest stretch of any queue; none: there is no queue.
+    void update(std::optional<double> tightest_stretch, boot_time now);
 
     [[nodiscard]] speed_estimate find(std::string_view executor, boot_time now) const;
 
@@ -72,6 +72,9 @@
     // as at the median, so a job that is planned for a median executor is late on a slow one.
     [[nodiscard]] bool is_uneven() const { return this->counts_as_uneven; }
 
+    // Run time on a slow executor, at the 90th percentile, as a multiple of the median; 1 while too few are known.
+    [[nodiscard]] double slow_multiple() const;
+
     // 0 for the fastest class of the fleet.
     [[nodiscard]] std::int32_t find_class(double multiple) const;
 
@@ -91,7 +94,8 @@
     struct rate_sample {
         std::shared_ptr<step_level> step;
         double log_rate = 0;
-        double weight = 0; // 1 for a rate without measurement error.
+        double weight = 0;           // 1 for a rate without measurement error.
+        bool is_lower_bound = false; // The rate is at least this.
         boot_time taken_at;
     };
 
@@ -99,6 +103,7 @@
         std::string task;
         std::uint32_t run = 0;
         std::uint32_t first_percent = 0;
+        milliseconds absent_at{0}; // The newest report without the task; 0: there is none.
         bool is_bound = false;
         bool is_seen = false;               // In the report that is being applied.
         std::vector<progress_point> points; // Oldest first; empty before the first progress.
@@ -124,6 +129,8 @@
     static void keep_ended(executor_state& state, const rate_sample& sample);
     static void forget_former_speed(executor_state& state);
     static void drop_old_samples(executor_state& state, boot_time now);
+    // The logarithmic rate, or the expected one if only a bound is known.
+    static double find_rate(const rate_sample& sample, const executor_state& state);
     void compute_levels();
     static void compute_multiple(executor_state& state, boot_time now);
     void center_multiples(boot_time now);
