executor_speed: compare each sample with the others of its step

A sample that was part of the level it was compared with repeated the executor's former multiple and slowed the estimate down. Executors without new samples keep their multiple.

--- a/libraries/dispatch/executor_speed.cpp
+++ b/libraries/dispatch/executor_speed.cpp
@@ -29,7 +29,7 @@
 constexpr double work_variance = 0.25 * 0.25;
 
 // Number of samples that the caller's estimate of a step counts for. Estimates are wrong by a factor of up to two.
-constexpr double estimate_weight = 0.5;
+constexpr double estimate_weight = 0.3;
 
 // Number of samples that count for the fleet's median in each executor's estimate.
 constexpr double median_weight = 0.5;
@@ -64,6 +64,12 @@
 constexpr milliseconds max_known_age{120'000};
 constexpr std::size_t min_known_executors = 10;
 
+// The level of a step is kept when it would be computed from less than this part of the samples.
+constexpr double min_level_part = 0.6;
+
+// An executor without newer samples keeps its multiple: two polls have brought none.
+constexpr milliseconds max_computed_age{2'500};
+
 // The fleet counts as uneven, or no longer, once the measurement has said so for this long.
 constexpr milliseconds uneven_after{1'000};
 constexpr milliseconds even_after{5'000};
@@ -87,8 +93,13 @@
     return (*middle + *std::max_element(values.begin(), middle)) / 2;
 }
 
-// The mean of the values that lie near their median. It uses the values better than the median does.
-double find_center(std::vector<double>& values)
+struct value_center {
+    double median = 0;
+    double mean = 0;  // Of the values near the median, which uses them better than the median does.
+    double count = 0; // Of these.
+};
+
+value_center find_center(std::vector<double>& values)
 {
     const double median = find_median(values);
     double sum = 0;
@@ -99,7 +110,7 @@
         sum += value;
         ++count;
     }
-    return count > 0 ? sum / count : median;
+    return count > 0 ? value_center{median, sum / count, count} : value_center{median, median, 1};
 }
 
 double find_weight(double percent)
@@ -353,26 +364,54 @@
                 task.sample.step->scratch.push_back(task.sample.log_rate + state.log_multiple);
         }
     }
+    std::vector<double> errors;
     for (auto& [name, step] : this->steps) {
         if (step->scratch.empty())
             continue;
-        const auto count = static_cast<double>(step->scratch.size());
-        step->level =
-            (find_center(step->scratch) * count + step->expected * estimate_weight) / (count + estimate_weight);
+        const value_center center = find_center(step->scratch);
+        // Once most samples of the step are gone, the others are still compared with the level that all of them gave.
+        if (center.count < step->level_weight * min_level_part) {
+            step->scratch.clear();
+            continue;
+        }
+        step->median = center.median;
+        step->level = center.mean;
+        step->level_weight = center.count;
+        errors.push_back(step->level - step->expected);
     }
+    // The estimates of callers may be wrong by a common factor, and the whole fleet may be slower than they assume.
+    const double common_error = errors.empty() ? 0 : find_median(errors);
+    for (auto& [name, step] : this->steps) {
+        if (step->scratch.empty())
+            continue;
+        const double sum = step->level * step->level_weight + (step->expected + common_error) * estimate_weight;
+        step->level_weight += estimate_weight;
+        step->level = sum / step->level_weight;
+    }
+}
+
+// A sample that were compared with a level of which it is a part would only repeat the executor's former multiple.
+std::pair<double, double> executor_speed::find_level_without(const rate_sample& sample, const executor_state& state)
+{
+    const step_level& step = *sample.step;
+    const double own = find_rate(sample, state) + state.log_multiple;
+    if (step.level_weight <= 1 || std::abs(own - step.median) > max_deviation)
+        return {step.level, 1.0};
+    const double others = step.level_weight - 1;
+    return {(step.level * step.level_weight - own) / others, others / step.level_weight};
 }
 
-void executor_speed::compute_multiple(executor_state& state, boot_time now)
+bool executor_speed::compute_multiple(executor_state& state, boot_time now)
 {
     std::vector<double> values;
     std::vector<double> weights;
     double bound = std::numeric_limits<double>::infinity();
     const auto add = [&values, &weights, &state](const rate_sample& sample) {
-        const double level = sample.step->level;
+        const auto [level, worth] = find_level_without(sample, state);
         const imputed_rate imputed = sample.is_lower_bound ? impute(sample.log_rate, level - state.log_multiple)
                                                            : imputed_rate{sample.log_rate, sample.weight};
         values.push_back(level - imputed.log_rate);
-        weights.push_back(imputed.information);
+        weights.push_back(imputed.information * worth);
     };
     for (const rate_sample& sample : state.ended)
         add(sample);
@@ -398,6 +437,32 @@
         state.log_multiple = sum / (state.weight + state.prior_weight + median_weight);
     }
     state.log_multiple = std::clamp(std::min(state.log_multiple, bound), -max_log_multiple, max_log_multiple);
+    return !values.empty();
+}
+
+// The levels of steps and the multiples of the executors that run them are known up to a common factor only. It is kept
+// such that executors that were known before stay the same at the median; otherwise executors without work, whose
+// multiples are not computed anew, would drift against the others.
+void executor_speed::compute_multiples(boot_time now)
+{
+    std::vector<double> drifts;
+    std::vector<executor_state*> computed;
+    for (auto& [id, state] : this->executors) {
+        if (!state.newest_sample || now - *state.newest_sample > max_computed_age)
+            continue;
+        const double former = state.log_multiple;
+        const bool is_known = state.weight >= min_known_weight;
+        if (!compute_multiple(state, now))
+            continue;
+        computed.push_back(&state);
+        if (is_known)
+            drifts.push_back(state.log_multiple - former);
+    }
+    if (drifts.size() < min_known_executors)
+        return;
+    const double drift = find_median(drifts);
+    for (executor_state* state : computed)
+        state->log_multiple -= drift;
 }
 
 // Multiples are relative to the fleet's median. An executor without samples keeps its former multiple.
@@ -411,8 +476,10 @@
     if (sampled.empty())
         return;
     const double median = find_median(sampled);
-    for (auto& [id, state] : this->executors)
-        state.log_multiple -= state.weight > 0 ? median : 0;
+    for (auto& [id, state] : this->executors) {
+        if (state.newest_sample && now - *state.newest_sample <= max_computed_age)
+            state.log_multiple -= median;
+    }
 }
 
 double executor_speed::slow_multiple() const
@@ -458,8 +525,7 @@
     constexpr int passes = 2;
     for (int pass = 0; pass < passes; ++pass) {
         this->compute_levels();
-        for (auto& [id, state] : this->executors)
-            compute_multiple(state, now);
+        this->compute_multiples(now);
         this->center_multiples(now);
     }
     std::erase_if(this->steps, [](const auto& entry) { return entry.second.use_count() == 1; });
@@ -482,7 +548,7 @@
 {
     if (this->known_multiples.empty())
         return 0;
-    const double fastest = find_percentile(this->known_multiples, 0.05);
+    const double fastest = find_percentile(this->known_multiples, 0.15);
     const double steps_away = (std::log(multiple) - fastest) / std::log(speed_class_ratio);
     return static_cast<std::int32_t>(std::clamp<double>(std::round(steps_away), 0, max_speed_class));
 }
--- a/libraries/dispatch/executor_speed.h
+++ b/libraries/dispatch/executor_speed.h
@@ -17,6 +17,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "base/time.h"
@@ -83,6 +84,8 @@
     struct step_level {
         double expected = 0; // From the caller's estimate.
         double level = 0;
+        double level_weight = 0; // Number of values behind the level; the caller's estimate counts for a part of one.
+        double median = 0;       // Of the values.
         std::vector<double> scratch; // Only during a computation.
     };
 
@@ -131,8 +134,12 @@
     static void drop_old_samples(executor_state& state, boot_time now);
     // The logarithmic rate, or the expected one if only a bound is known.
     static double find_rate(const rate_sample& sample, const executor_state& state);
+    // The level according to the other samples of the step, and what a sample that is compared with it is worth.
+    static std::pair<double, double> find_level_without(const rate_sample& sample, const executor_state& state);
     void compute_levels();
-    static void compute_multiple(executor_state& state, boot_time now);
+    // Returns false if the executor has no samples; the multiple then stays.
+    static bool compute_multiple(executor_state& state, boot_time now);
+    void compute_multiples(boot_time now);
     void center_multiples(boot_time now);
     void update_evenness(std::optional<double> tightest_stretch, boot_time now);
 
