--- a/libraries/dispatch/executor_speed.cpp
+++ b/libraries/dispatch/executor_speed.cpp
@@ -521,13 +521,10 @@
     this->updated_at = now;
     for (auto& [id, state] : this->executors)
         drop_old_samples(state, now);
-    // Each computation begins with the result of the last one, so that few passes are enough.
-    constexpr int passes = 2;
-    for (int pass = 0; pass < passes; ++pass) {
-        this->compute_levels();
-        this->compute_multiples(now);
-        this->center_multiples(now);
-    }
+    // One pass is enough, since each computation begins with the result of the last one.
+    this->compute_levels();
+    this->compute_multiples(now);
+    this->center_multiples(now);
     std::erase_if(this->steps, [](const auto& entry) { return entry.second.use_count() == 1; });
     this->update_evenness(tightest_stretch, now);
 }
