--- a/libraries/dispatch/capacity_table.cpp
+++ b/libraries/dispatch/capacity_table.cpp
@@ -80,6 +80,16 @@
     return found == this->row_by_executor.end() ? std::nullopt : std::optional(found->second);
 }
 
+std::vector<std::size_t> capacity_table::find_rows(std::span<const std::string> executors) const
+{
+    std::vector<std::size_t> rows;
+    for (const std::string& id : executors) {
+        if (const auto row = this->find_row(id))
+            rows.push_back(*row);
+    }
+    return rows;
+}
+
 void capacity_table::mark_filling_and_serving(const run_tracker& tracker)
 {
     for (const auto& [id, job] : tracker.jobs()) {
--- a/libraries/dispatch/capacity_table.h
+++ b/libraries/dispatch/capacity_table.h
@@ -30,6 +30,9 @@
     [[nodiscard]] std::span<const executor_capacity> all() const { return this->entries; }
     [[nodiscard]] std::optional<std::size_t> find_row(std::string_view executor) const;
 
+    // The rows of those executors that are listed.
+    [[nodiscard]] std::vector<std::size_t> find_rows(std::span<const std::string> executors) const;
+
     // Marks the executors that run filling or serving tasks.
     void mark_filling_and_serving(const run_tracker& tracker);
 
--- a/libraries/dispatch/dispatcher.cpp
+++ b/libraries/dispatch/dispatcher.cpp
@@ -209,19 +209,22 @@
         find_pace(this->capacities.all(), places) <= need.in_time_multiple)
         return false;
     work_unit& unit = waiting.job->units[unit_row];
-    // One attempt for each placement, so that a unit that may not stop others is not held up.
-    const bool may_plan =
-        !unit.reserved_on.empty() || !unit.preemption_tried_at || *unit.preemption_tried_at < unit.waiting_since;
-    if (!may_plan || now - unit.waiting_since >= better_place_wait)
+    if (now - unit.waiting_since >= better_place_wait)
         return false;
     placement_need in_time = need;
     in_time.must_be_in_time = true;
     if (unit.reserved_on.empty()) {
+        // One attempt for each placement, so that a unit that may not stop others is not held up.
+        if (unit.preemption_tried_at)
+            return false;
         const auto path_ms = static_cast<double>(std::max<std::int64_t>(waiting.critical_path.count(), 1));
         in_time.in_time_multiple -= static_cast<double>(this->limits.max_stop_time.count()) / path_ms;
         if (in_time.in_time_multiple < this->capacities.fastest_multiple())
             return false;
     }
+    else if (find_pace(this->capacities.all(), this->capacities.find_rows(unit.reserved_on)) > need.in_time_multiple) {
+        return false;
+    }
     this->preemption.reserve_or_preempt(waiting, unit_row, in_time, present, now);
     return !unit.reserved_on.empty();
 }
--- a/libraries/dispatch/placement.cpp
+++ b/libraries/dispatch/placement.cpp
@@ -166,14 +166,6 @@
     return std::nullopt;
 }
 
-std::optional<class_range> find_fastest_range(const placement_need& need, const class_sums& sums)
-{
-    const auto bound = find_bound(need, sums, 0);
-    if (!bound)
-        return std::nullopt;
-    return class_range{0, *bound, {0, *bound, 0, 0}};
-}
-
 // Among the ranges from `lowest` on whose classes are all at most as slow as `max_multiple`, the one of the most alike
 // classes, and then the slowest. Returns nothing if the unit fits into none of them.
 std::optional<class_range> find_slow_range(const placement_need& need, const class_sums& sums, std::int32_t lowest,
@@ -198,31 +190,42 @@
     return best;
 }
 
-// For work that is not urgent: slow executors while that is safe, fast ones while enough of them are free, slow ones on
-// which it is still expected to end in time, fast ones if it needs them. Work that is late anywhere runs on the fastest
-// executors that fit, but on those that are kept for urgent work only if many are free or no others fit.
+// The smallest bound from `first` on; nothing if it does not fit, or has an executor slower than `max_multiple`.
+std::optional<class_range> find_quick_range(const placement_need& need, const class_sums& sums, std::int32_t first,
+                                            double max_multiple, int tier)
+{
+    const auto bound = find_bound(need, sums, first);
+    if (!bound)
+        return std::nullopt;
+    for (std::int32_t speed_class = first; speed_class <= *bound; ++speed_class) {
+        if (sums.at(speed_class).pace > max_multiple)
+            return std::nullopt;
+    }
+    return class_range{first, *bound, {tier, *bound, 0, 0}};
+}
+
+// For work that is not urgent: the slowest executors on which it is in time even if its estimate is too low; else the
+// fastest that fit. Those that are kept for urgent work are taken while many of them are free, if the work is late on
+// all others, or if it fits on no others.
 std::optional<class_range> find_sparing_range(const placement_need& need, const class_sums& sums,
                                               const fast_classes& fast)
 {
+    constexpr double any_multiple = std::numeric_limits<double>::infinity();
     const std::int32_t after_fast = fast.last + 1;
     if (auto range = find_slow_range(need, sums, after_fast, need.safe_multiple, 0))
         return range;
     if (fast.is_ample) {
         if (auto range = find_slow_range(need, sums, 0, need.safe_multiple, 1))
             return range;
+        return find_quick_range(need, sums, 0, any_multiple, 2);
     }
-    if (auto range = find_slow_range(need, sums, after_fast, need.in_time_multiple, 2))
+    if (auto range = find_quick_range(need, sums, after_fast, need.in_time_multiple, 3))
         return range;
-    if (auto range = find_slow_range(need, sums, 0, need.in_time_multiple, 3))
+    if (auto range = find_quick_range(need, sums, 0, need.in_time_multiple, 4))
         return range;
-    if (!fast.is_ample) {
-        if (const auto bound = find_bound(need, sums, after_fast))
-            return class_range{after_fast, *bound, {4, *bound, 0, 0}};
-    }
-    const auto bound = find_bound(need, sums, 0);
-    if (!bound)
-        return std::nullopt;
-    return class_range{0, *bound, {5, *bound, 0, 0}};
+    if (auto range = find_quick_range(need, sums, after_fast, any_multiple, 5))
+        return range;
+    return find_quick_range(need, sums, 0, any_multiple, 6);
 }
 
 // The range of classes in which the unit is placed; nothing if it does not fit on the executors of these rows.
@@ -234,7 +237,7 @@
     for (const std::size_t row : rows)
         sums.add(need, executors[row], count_present(present, row));
     if (need.preference == speed_preference::fastest)
-        return find_fastest_range(need, sums);
+        return find_quick_range(need, sums, 0, std::numeric_limits<double>::infinity(), 0);
     return find_sparing_range(need, sums, fast ? *fast : find_fast_classes(need, sums));
 }
 
