--- a/tests/dispatch/speed_placement_test.cpp
+++ b/tests/dispatch/speed_placement_test.cpp
@@ -88,6 +88,7 @@
     dispatcher dispatch;
     std::map<std::string, executor_pace, std::less<>> speeds;
     int jobs = 0;
+    bool are_stops_ignored = false;
 
     explicit uneven_fixture(bool places_by_speed = true)
         : dispatch({milliseconds(6'000), milliseconds(200), milliseconds(5'000), {places_by_speed, false, false}},
@@ -129,7 +130,7 @@
             for (const task_reference& reference : this->dispatch.job_runs().tasks_on(id)) {
                 const job_run& job = *this->dispatch.job_runs().find(reference.job);
                 const work_unit& unit = job.units[reference.unit_row];
-                if (!unit.placed_tasks[reference.task_row].is_stop_requested)
+                if (this->are_stops_ignored || !unit.placed_tasks[reference.task_row].is_stop_requested)
                     report.running.push_back(
                         {make_task_name(reference.job, {0, 0, unit.first_task + reference.task_row}), reference.run, "",
                          static_cast<std::uint32_t>((this->now - unit.placed_at).count() / 200)});
@@ -167,7 +168,7 @@
             this->dispatch.handle_start_answer(order, start_answer::accepted, this->now);
         }
         for (const stop_order& order : this->dispatch.collect_stops(this->now))
-            this->dispatch.handle_stop_answer(order, true, this->now);
+            this->dispatch.handle_stop_answer(order, !this->are_stops_ignored, this->now);
         this->now += milliseconds(20);
         this->poll_all();
         return started;
@@ -400,6 +401,24 @@
     BOOST_TEST(fleet.dispatch.job_runs().find(urgent)->units[0].placed_tasks.front().executor < "e4");
 }
 
+// Guards the time in which an account's guarantee must be met.
+BOOST_AUTO_TEST_CASE(ends_the_wait_for_a_better_place_when_the_stopped_work_does_not_end)
+{
+    uneven_fixture fleet;
+    for (int job = 0; job < 4; ++job)
+        fleet.add("background", 1, 8, 20'000, 0, true);
+    fleet.set_speed("e4", {9.0, 12});
+    fleet.set_speed("e5", {9.0, 12});
+    fleet.run_round();
+    fleet.are_stops_ignored = true;
+    fleet.add("urgent", 1, 8, 20'000);
+    const boot_time added_at = fleet.now;
+    BOOST_TEST(fleet.run_round().empty());
+    while (fleet.run_round().empty() && fleet.now - added_at < milliseconds(5'000)) {
+    }
+    BOOST_TEST((fleet.now - added_at).count() <= 1'300);
+}
+
 BOOST_AUTO_TEST_CASE(without_the_option_places_as_on_an_even_fleet)
 {
     uneven_fixture off(false);
