--- a/tests/dispatch/speed_placement_test.cpp
+++ b/tests/dispatch/speed_placement_test.cpp
@@ -296,11 +296,12 @@
     BOOST_TEST(find_class(2, 4) == 0); // Nothing else fits.
 }
 
+// Guards against fast members that wait for a slow one.
 BOOST_AUTO_TEST_CASE(in_a_gang_gets_members_of_like_speed)
 {
     placement_need need = make_need(3, 4, speed_preference::slowest);
     const std::vector fleet{make_capacity(paces[0], 8), make_capacity(paces[0], 8), make_capacity(paces[1], 8),
-                            make_capacity(paces[1], 4), make_capacity(paces[2], 4), make_capacity(paces[2], 4)};
+                            make_capacity(paces[1], 4), make_capacity({1.2, 3}, 4), make_capacity({2.2, 6}, 8)};
     BOOST_TEST(list_classes(fleet, find_places(need, fleet, {})) == (std::vector<std::int32_t>{2, 2, 2}),
                boost::test_tools::per_element());
 }
