--- a/libraries/dispatch/placement.cpp
+++ b/libraries/dispatch/placement.cpp
@@ -97,7 +97,7 @@
         double pace = 0;               // The highest multiple among the executors where a task fits.
     };
 
-    std::array<class_sum, 2 * class_count> classes;
+    std::array<class_sum, std::size_t{2} * class_count> classes;
     std::int32_t slowest = 0; // Of the classes that have executors.
 
     void add(const placement_need& need, const executor_capacity& candidate, std::uint32_t present)
