--- a/tests/dispatch/preemption_budget_test.cpp
+++ b/tests/dispatch/preemption_budget_test.cpp
@@ -372,26 +372,33 @@
     }
 }
 
-// Guards against the fault of the trial that forbade such stops: an accepted job never ran.
-BOOST_AUTO_TEST_CASE(a_job_that_waits_for_long_is_served_in_the_end)
+// Guards against the fault of the trial that forbade such stops: an accepted job never ran. Nothing of the running work
+// may be stopped for it otherwise.
+BOOST_AUTO_TEST_CASE(a_job_that_waits_for_long_stops_what_was_stopped_often)
 {
-    for (const bool is_checkpointing : {true, false}) {
-        crowded_fleet fleet;
-        // Longer than the test; without checkpoints nothing of it may be stopped, so the wide job has to wait for ends.
-        records::Submission running =
-            crowded_fleet::make_submission("q2", "other", executor_count, 8, is_checkpointing ? 400'000 : 5'000);
-        running.mutable_steps(0)->set_checkpointing(is_checkpointing);
-        fleet.add(running);
-        fleet.decide();
-        fleet.pass(2'000);
-        const std::string wide = fleet.add("q1", executor_count, 2'000, true);
-        // Later work takes each executor that becomes free.
-        for (int second = 0; second < 70 && !fleet.has_started(wide); ++second) {
-            fleet.add(crowded_fleet::make_submission("q1", "narrow", 2, 8, 3'000));
-            fleet.pass(1'000);
-        }
-        BOOST_TEST(fleet.has_started(wide), "checkpointing: " << is_checkpointing);
+    crowded_fleet fleet;
+    for (const std::string& id : fleet.fill(120'000))
+        fleet.dispatch.job_runs().find(id)->preemptions = protected_after_stops;
+    fleet.pass(2'000);
+    const std::string wide = fleet.add("q1", executor_count, 2'000, true);
+    fleet.pass(starvation_wait.count());
+    BOOST_TEST(!fleet.has_started(wide));
+    fleet.pass(3'000);
+    BOOST_TEST(fleet.has_started(wide));
+}
+
+// Guards against a stream of narrow jobs, none of which may be stopped, that never leaves room for a wide one.
+BOOST_AUTO_TEST_CASE(a_wide_job_that_waits_for_long_gets_the_executors_whose_work_ends)
+{
+    crowded_fleet fleet;
+    std::string wide;
+    for (int arrival = 0; arrival < 50; ++arrival) {
+        fleet.add(crowded_fleet::make_submission("q0", "narrow", 1, 8, 3'000));
+        fleet.pass(750); // Four executors run just this much.
+        if (arrival == 4)
+            wide = fleet.add("q2", executor_count, 2'000, true);
     }
+    BOOST_TEST(fleet.has_started(wide));
 }
 
 // Guards against stops whose room other work takes, and against further stops meanwhile.
