--- a/libraries/dispatch/account_shares.cpp
+++ b/libraries/dispatch/account_shares.cpp
@@ -38,6 +38,13 @@
     return std::min(share, 1.0);
 }
 
+// Whether several accounts wait for more accelerators than the pool has free.
+bool is_contended(const auto& pool)
+{
+    constexpr std::size_t competing_accounts = 2;
+    return pool.waiting_accounts >= competing_accounts && pool.free_accelerators < pool.waiting_accelerators;
+}
+
 } // namespace
 
 const account_shares::pool_state* account_shares::find_pool(std::string_view pool) const
@@ -160,15 +167,13 @@
 bool account_shares::is_any_short() const
 {
     return std::any_of(this->pools.begin(), this->pools.end(),
-                       [this](const auto& entry) { return this->is_short(entry.first); });
+                       [](const auto& entry) { return is_contended(entry.second); });
 }
 
 bool account_shares::is_short(std::string_view pool) const
 {
     const pool_state* found = this->find_pool(pool);
-    constexpr std::size_t competing_accounts = 2;
-    return found != nullptr && found->waiting_accounts >= competing_accounts &&
-           found->free_accelerators < found->waiting_accelerators;
+    return found != nullptr && is_contended(*found);
 }
 
 double account_shares::find_share(std::string_view pool, std::string_view account) const
@@ -188,10 +193,14 @@
 
 milliseconds account_shares::find_penalty(std::string_view pool, std::string_view account) const
 {
-    if (!this->is_short(pool))
+    const pool_state* found = this->find_pool(pool);
+    if (found == nullptr || !is_contended(*found))
+        return milliseconds(0);
+    const auto entry = found->accounts.find(account);
+    if (entry == found->accounts.end())
         return milliseconds(0);
-    const double equal_share = this->find_equal_share(pool);
-    const double excess = (this->find_share(pool, account) - equal_share) / equal_share;
+    const double equal_share = 1 / static_cast<double>(found->active_accounts);
+    const double excess = (entry->second.share - equal_share) / equal_share;
     const double part = std::clamp(excess / full_penalty_excess, 0.0, 1.0);
     return milliseconds(static_cast<std::int64_t>(part * static_cast<double>(max_share_penalty.count())));
 }
