--- a/libraries/dispatch/account_shares.cpp
+++ b/libraries/dispatch/account_shares.cpp
@@ -215,6 +215,7 @@
         }
     }
     std::vector<named_share> listed;
+    listed.reserve(largest.size());
     for (const auto& [account, share] : largest)
         listed.push_back({std::string(account), share});
     std::stable_sort(listed.begin(), listed.end(),
