--- a/tests/support/cluster.h
+++ b/tests/support/cluster.h
@@ -75,6 +75,11 @@
     process& scheduler(int index) { return this->schedulers.at(static_cast<std::size_t>(index)); }
     [[nodiscard]] std::string platform_address() const;
     [[nodiscard]] std::string operator_address(const std::string& role, int index) const;
+    [[nodiscard]] int caller_port(int entry) const { return this->ports.at("caller:entry" + std::to_string(entry)); }
+    [[nodiscard]] int operator_port(const std::string& role, int index) const
+    {
+        return this->ports.at("operator:" + role + std::to_string(index));
+    }
     process& platform() { return this->platform_process; }
 
     // Sends a request to an entry's caller port.
--- a/tests/support/node_cluster.cpp
+++ b/tests/support/node_cluster.cpp
@@ -168,7 +168,8 @@
     std::ofstream file(this->folder + "/node" + std::to_string(node) + ".json");
     file << R"({"node-name":"node)" << node << R"(","zone":"z","ip":")" << host << R"(","listen-addrs":{"frontend":")"
          << address(caller_port_offset) << R"(","ready":")" << address(ready_port_offset) << R"("},"port-range":[)"
-         << this->port_of(node, metrics_port_offset) << R"(],"limits":{"cpu-share":1,"memory-mb":260,"max-fds":4100},)"
+         << this->port_of(node, metrics_port_offset) << R"(],"limits":{"cpu-share":1,"memory-mb":)"
+         << this->options.memory_mb << R"(,"max-fds":4100},)"
          << R"("platform":{"address":")" << host << ":" << store
          << R"("},"bounds":{"hold-max-ms":6000,"stop-ms":200,"revoke-ms":5000,"grace-s":6,"status_s":)"
          << this->options.job_state_retention_s << (this->options.has_evacuation_limit ? R"(,"evac-ms":5000})" : "}");
--- a/tests/support/node_cluster.h
+++ b/tests/support/node_cluster.h
@@ -26,6 +26,7 @@
     bool keeps_connections = false;    // Callers reuse one connection to each node.
     bool has_evacuation_limit = false; // The settings bound the time until an evacuation is in force (evac-ms).
     bool has_unit_records = true;      // Nodes are started with --progress_format=per_unit.
+    int memory_mb = 260;               // Memory of a node's host (setting limits.memory-mb).
 };
 
 // The connections that one route of the proxy carries: from one node to the store, from all nodes to one executor, or
@@ -110,11 +111,15 @@
 
     [[nodiscard]] int node_count() const { return static_cast<int>(this->nodes.size()); }
     [[nodiscard]] std::string read_log(int node) const;
+    [[nodiscard]] pid_t node_process_id(int node) const
+    {
+        return this->nodes.at(static_cast<std::size_t>(node)).process_id();
+    }
+    [[nodiscard]] int caller_port_of(int node) const; // The proxy's port when there is one.
 
 private:
     [[nodiscard]] int port_of(int node, int offset) const;
     [[nodiscard]] int route_of(proxied_link link, int index) const;
-    [[nodiscard]] int caller_port_of(int node) const;
     httplib::Client& get_caller_client(int node);
     void start_proxy(int first_executor_port);
     void write_settings(int node) const;
--- a/tests/support/process.h
+++ b/tests/support/process.h
@@ -32,6 +32,7 @@
     int wait();
 
     [[nodiscard]] bool is_started() const { return this->id > 0; }
+    [[nodiscard]] pid_t process_id() const { return this->id; }
 
 private:
     pid_t id = -1;
