Bound what clients that nobody controls can make a process hold

Cause: the listener's read buffer had no maximum, and the limits of the head and the body cover neither chunk extensions nor trailers; cpp-httplib bounds no line, no head as a whole, no chunked body and no time of a request.

Change: the listener counts all bytes of a request, has a maximum for its read buffer, a time for the head, and one budget for all connections, which closes those that hold the most for the longest time. http_client's read buffer has a maximum. The servers on cpp-httplib read through a stream with the same limits.

The other suites are not run yet on this change.

--- a/libraries/net/http_client.cpp
+++ b/libraries/net/http_client.cpp
@@ -24,6 +24,9 @@
 // Larger than the largest page of the store (1 MB of records and their framing).
 constexpr std::uint64_t reply_body_limit = 8ULL * 1024 * 1024;
 
+// Bounds what the body's limit does not cover: the head, a chunk extension and the trailers of a response.
+constexpr std::size_t read_buffer_limit = 128 * 1024;
+
 } // namespace
 
 class http_client::pool : public std::enable_shared_from_this<pool> {
@@ -40,7 +43,7 @@
         explicit http_connection(asio::io_context& event_loop) : stream(event_loop) {}
 
         beast::tcp_stream stream;
-        beast::flat_buffer buffer;
+        beast::flat_buffer buffer{read_buffer_limit};
         http::request<http::string_body> request;
         std::unique_ptr<http::response_parser<http::string_body>> parser;
         call_handler done;
--- a/services/entry/main.cpp
+++ b/services/entry/main.cpp
@@ -44,7 +44,10 @@
     request_service requests(settings, state, admission_control, pool, is_alive);
     std::atomic<bool> is_leaving = false;
     const auto is_ready = [&] { return state.is_ready() && gossip.is_configuration_current(); };
-    http_server caller_server(settings.caller_threads());
+    client_limits caller_limits;
+    caller_limits.body_bytes = settings.body_limit_bytes();
+    caller_limits.held_bytes = std::max(caller_limits.held_bytes, caller_limits.body_bytes * 4);
+    http_server caller_server(settings.caller_threads(), caller_limits);
     caller_api api(settings, state, requests, is_ready,
                    [&caller_server] { return caller_server.should_close_idle_connections(); });
 
--- a/services/node/main.cpp
+++ b/services/node/main.cpp
@@ -39,6 +39,7 @@
             "place tasks by the measured speeds of the executors while these differ; see docs/OPERATIONS.md");
 DEFINE_bool(bound_preemption, false, "limit how much work is stopped for work that no guarantee covers");
 DEFINE_bool(share_by_account, false, "while room is short, serve the accounts that use less than their share first");
+DEFINE_int32(header_timeout_ms, 3'000, "milliseconds from the first byte of a caller's request to the end of its head");
 
 namespace wigeon {
 
@@ -52,6 +53,10 @@
 constexpr std::size_t body_byte_limit = 262'144;
 constexpr milliseconds caller_idle_timeout{15'000};
 
+// Connections of callers may hold this part of the host's memory.
+constexpr std::size_t held_memory_divisor = 4;
+constexpr std::size_t bytes_per_mb = 1'048'576;
+
 // Interval of the checks for a settings file that changed without a signal.
 constexpr milliseconds settings_poll_interval{1'000};
 
@@ -99,8 +104,10 @@
     options.metrics_address = settings.ip + ":" + std::to_string(metrics_port);
     const std::size_t connections = settings.max_descriptors > 2 * reserved_descriptors
                                         ? settings.max_descriptors - reserved_descriptors
-                                        : reserved_descriptors;
-    options.caller_limits = {header_byte_limit, body_byte_limit, connections, caller_idle_timeout};
+                                        : std::max<std::size_t>(settings.max_descriptors / 2, 1);
+    options.caller_limits = {header_byte_limit, body_byte_limit, connections, caller_idle_timeout,
+                             milliseconds(FLAGS_header_timeout_ms)};
+    options.caller_limits.held_bytes = settings.memory_mb * bytes_per_mb / held_memory_divisor;
     options.leading.limits = {settings.max_lease,
                               settings.max_stop_time,
                               max_poll_age,
@@ -190,6 +197,8 @@
         throw error(error_kind::malformed_request, "--progress_format must be per_job or per_unit");
     if (FLAGS_job_retention_s < 0)
         throw error(error_kind::malformed_request, "--job_retention_s must not be negative");
+    if (FLAGS_header_timeout_ms < 1)
+        throw error(error_kind::malformed_request, "--header_timeout_ms must be positive");
     const std::string path = find_settings_path();
     const platform::node_settings settings = platform::read_node_settings(path);
     boost::asio::io_context loop(1);
--- a/tests/stand_ins/platform.cpp
+++ b/tests/stand_ins/platform.cpp
@@ -152,7 +152,7 @@
 {
     wigeon::block_stop_signals();
     wigeon::platform platform;
-    wigeon::http_server server(wigeon::server_threads);
+    wigeon::http_server server(wigeon::server_threads, {.body_bytes = 64 * 1'048'576});
     platform.add_routes(server.routes());
     server.start(argc > 1 ? argv[1] : "127.0.0.1:0");
     wigeon::wait_for_stop_signal();
