--- a/tests/platform/mutated_wire_test.cpp
+++ b/tests/platform/mutated_wire_test.cpp
@@ -45,17 +45,22 @@
     return text;
 }
 
+// Feeds mutations of the sample, and drawn bytes of which some are marks of JSON.
 template <typename Decode>
 void check_decoder(const std::string& name, const std::string& sample, Decode decode)
 {
-    wigeon::test::check_property(name, [&] {
-        const std::string text = mutate(sample);
+    const auto check = [&](const std::string& text) {
         try {
             decode(text);
         }
         catch (const error&) {
             // A refusal with a reason is allowed; any other exception fails the property.
         }
+    };
+    wigeon::test::check_property(name, [&] { check(mutate(sample)); });
+    wigeon::test::check_property(name + ", drawn bytes", [&] {
+        const auto byte = rc::gen::oneOf(rc::gen::arbitrary<char>(), rc::gen::elementOf(std::string("{}[]:,\"\\0-e")));
+        check(*rc::gen::container<std::string>(byte));
     });
 }
 
