--- a/libraries/base/network.cpp
+++ b/libraries/base/network.cpp
@@ -193,8 +193,9 @@
 // two apart; a body's block of one byte counts as part of a line.
 class bounded_stream : public httplib::Stream {
 public:
-    bounded_stream(socket_t socket, const client_limits& given_limits, request_budget& shared_budget)
-        : descriptor(socket), limits(given_limits), budget(shared_budget), usage{socket, {}}
+    bounded_stream(socket_t socket, const client_limits& given_limits, const connection_load& server_load,
+                   request_budget& shared_budget)
+        : descriptor(socket), limits(given_limits), load(server_load), budget(shared_budget), usage{socket, {}}
     {
         this->budget.add(this->usage);
     }
@@ -211,6 +212,7 @@
         this->budget.set_bytes(this->usage, 0, head_deadline);
         this->usage.began = read_steady_clock();
         this->deadline = head_deadline;
+        this->crowded_deadline = head_deadline;
         this->is_head_complete = false;
         this->line_bytes = this->all_line_bytes = this->body_bytes = this->counted_bytes = 0;
         this->write_deadline.reset();
@@ -284,10 +286,14 @@
     bool receive()
     {
         for (;;) {
-            if (read_steady_clock() >= this->deadline || !wait_for_socket(this->descriptor, POLLIN, this->deadline)) {
+            const steady_time now = read_steady_clock();
+            const bool is_crowded = this->load.queued > 0 && now >= this->crowded_deadline;
+            if (now >= this->deadline || is_crowded) {
                 note_refusal(this->is_head_complete ? "body_timeout" : "header_timeout");
                 return false;
             }
+            if (!wait_for_socket(this->descriptor, POLLIN, std::min(this->deadline, now + idle_poll_interval)))
+                continue;
             const ssize_t received = ::recv(this->descriptor, this->buffer.data(), this->buffer.size(), MSG_DONTWAIT);
             if (received > 0) {
                 this->next = 0;
@@ -338,12 +344,14 @@
 
     socket_t descriptor;
     const client_limits& limits;
+    const connection_load& load;
     request_budget& budget;
     request_budget::entry usage;
     std::array<char, read_buffer_bytes> buffer{};
     std::size_t next = 0; // Of the buffer's bytes that the library has not read yet.
     std::size_t end = 0;
     steady_time deadline;
+    steady_time crowded_deadline;              // For the whole request, while another connection waits for the thread.
     std::optional<steady_time> write_deadline; // Set by the first write of a response.
     bool is_head_complete = false;
     std::size_t line_bytes = 0;     // Of the present line.
@@ -375,7 +383,7 @@
 
     void serve(socket_t socket, steady_time arrival)
     {
-        bounded_stream stream(socket, this->limits, this->budget);
+        bounded_stream stream(socket, this->limits, this->load, this->budget);
         for (std::size_t left = this->keep_alive_max_count_; left > 0; --left) {
             const bool is_first = left == this->keep_alive_max_count_;
             if (!this->wait_for_request(stream, is_first ? arrival : read_steady_clock()))
