tests: connecting to a process that accepts no more has an end

Cause: without descriptors the unchanged scheduler accepts no more, and connect() of one of the 400 idle clients waited for minutes, so the case did not end within 200 s.

--- a/tests/integration/hostile_clients_test.cpp
+++ b/tests/integration/hostile_clients_test.cpp
@@ -10,6 +10,7 @@
 
 #include <poll.h>
 #include <sys/resource.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include <boost/asio/io_context.hpp>
@@ -112,9 +113,12 @@
 public:
     explicit raw_client(int port) : socket(this->loop)
     {
-        error_code reason;
-        this->socket.connect({asio::ip::make_address(host), static_cast<std::uint16_t>(port)}, reason);
-        this->is_open = !reason;
+        const asio::ip::tcp::endpoint peer(asio::ip::make_address(host), static_cast<std::uint16_t>(port));
+        this->socket.open(peer.protocol());
+        // Bounds connect() to a process that does not accept; Boost.Asio's own call would wait for minutes.
+        const timeval timeout{std::chrono::duration_cast<std::chrono::seconds>(blocked_send_limit).count(), 0};
+        setsockopt(this->socket.native_handle(), SOL_SOCKET, SO_SNDTIMEO, &timeout, sizeof(timeout));
+        this->is_open = ::connect(this->socket.native_handle(), peer.data(), static_cast<socklen_t>(peer.size())) == 0;
         if (this->is_open)
             this->socket.non_blocking(true);
     }
@@ -134,6 +138,8 @@
         return this->is_open;
     }
 
+    [[nodiscard]] bool is_connected() const { return this->is_open; }
+
 private:
     bool wait_until_writable()
     {
@@ -228,8 +234,11 @@
 client_list connect_clients(int count, int port)
 {
     client_list clients;
-    for (int index = 0; index < count; ++index)
+    for (int index = 0; index < count; ++index) {
         clients.push_back(std::make_unique<raw_client>(port));
+        if (!clients.back()->is_connected())
+            break; // The process accepts no more.
+    }
     return clients;
 }
 
