--- a/libraries/dispatch/dispatcher.cpp
+++ b/libraries/dispatch/dispatcher.cpp
@@ -406,10 +406,10 @@
                      "rank=" + std::string(to_string(waiting.rank)) +
                          " step=" + std::to_string(waiting.job->steps[waiting.step_row].step) +
                          " run=" + std::to_string(highest_run) + " tasks=" + std::to_string(executors.size()) +
-                         " waited_ms=" + std::to_string(waited.count()) + " slack_ms=" +
-                         std::to_string(waiting.slack.count()) + " estimate_ms=" + std::to_string(step.estimate_ms()) +
-                         this->describe_share(*waiting.job) + " on=" + boost::algorithm::join(executors, " ") + " " +
-                         this->format_speed(executors, step));
+                         " waited_ms=" + std::to_string(waited.count()) +
+                         " slack_ms=" + std::to_string(waiting.slack.count()) +
+                         " estimate_ms=" + std::to_string(step.estimate_ms()) + this->describe_share(*waiting.job) +
+                         " on=" + boost::algorithm::join(executors, " ") + " " + this->format_speed(executors, step));
 }
 
 // Stops stalled units, so that they are placed elsewhere.
