clang-tidy findings in the bounded reads and in the tests of account shares

No behaviour changes: the thread's connection is reached through a function, a product is computed in the type of the constant, and two arrays are std::array.

--- a/libraries/base/network.cpp
+++ b/libraries/base/network.cpp
@@ -39,12 +39,18 @@
 constexpr milliseconds idle_poll_interval{50};
 constexpr milliseconds refusal_log_interval{1'000};
 
-// When and how the connection that the present thread serves came out of the queue.
+// When and how the connection that a thread serves came out of the queue.
 struct dequeued_connection {
     steady_time arrival;
     bool is_refused = false;
 };
-thread_local dequeued_connection current_connection;
+
+// Of the calling thread.
+dequeued_connection& current_connection()
+{
+    thread_local dequeued_connection connection;
+    return connection;
+}
 
 // Counts a refusal and logs at most one line in each interval.
 void note_refusal(std::string_view reason)
@@ -80,7 +86,7 @@
         const steady_time arrival = read_steady_clock();
         if (this->load.queued + this->load.active >= read_connection_limit()) {
             note_refusal("connections");
-            current_connection = {arrival, true};
+            current_connection() = {arrival, true};
             connection();
             return;
         }
@@ -88,7 +94,7 @@
         this->pool.enqueue([this, arrival, connection = std::move(connection)] {
             --this->load.queued;
             ++this->load.active;
-            current_connection = {arrival, false};
+            current_connection() = {arrival, false};
             connection();
             --this->load.active;
         });
@@ -373,7 +379,7 @@
 private:
     bool process_and_close_socket(socket_t socket) override
     {
-        const dequeued_connection connection = current_connection;
+        const dequeued_connection connection = current_connection();
         if (!connection.is_refused)
             this->serve(socket, connection.arrival);
         ::shutdown(socket, SHUT_RDWR);
--- a/libraries/net/http_client.cpp
+++ b/libraries/net/http_client.cpp
@@ -25,7 +25,7 @@
 constexpr std::uint64_t reply_body_limit = 8ULL * 1024 * 1024;
 
 // Bounds what the body's limit does not cover: the head, a chunk extension and the trailers of a response.
-constexpr std::size_t read_buffer_limit = 128 * 1024;
+constexpr std::size_t read_buffer_limit = std::size_t{128} * 1024;
 
 } // namespace
 
--- a/tests/dispatch/account_shares_test.cpp
+++ b/tests/dispatch/account_shares_test.cpp
@@ -1,6 +1,7 @@
 // Shares by account: who starts when, on a small fleet for which accounts compete.
 
 #include <algorithm>
+#include <array>
 #include <map>
 #include <string>
 #include <vector>
@@ -247,7 +248,7 @@
 // Guards against a penalty that acts where no account takes room from another.
 BOOST_AUTO_TEST_CASE(while_room_is_not_short)
 {
-    std::vector<std::string> starts[2];
+    std::array<std::vector<std::string>, 2> starts;
     for (const bool uses_shares : {false, true}) {
         shared_fleet fleet(uses_shares);
         for (int turn = 0; turn < 20; ++turn) {
@@ -258,14 +259,14 @@
             fleet.pass(300);
         }
         BOOST_TEST(fleet.count_with_share() == 0U);
-        starts[uses_shares ? 1 : 0] = fleet.starts;
+        starts.at(uses_shares ? 1 : 0) = fleet.starts;
     }
     BOOST_TEST(starts[0] == starts[1], boost::test_tools::per_element());
 }
 
 BOOST_AUTO_TEST_CASE(while_one_account_alone_waits)
 {
-    std::vector<std::string> starts[2];
+    std::array<std::vector<std::string>, 2> starts;
     for (const bool uses_shares : {false, true}) {
         shared_fleet fleet(uses_shares);
         fill(fleet);
@@ -273,7 +274,7 @@
             fleet.add("flood", row % 3 == 0 ? "q2" : "q1", 1, 1'000 + 50 * static_cast<std::uint32_t>(row % 7));
         fleet.pass(10'000);
         BOOST_TEST(fleet.count_with_share() == 0U);
-        starts[uses_shares ? 1 : 0] = fleet.starts;
+        starts.at(uses_shares ? 1 : 0) = fleet.starts;
     }
     BOOST_TEST(starts[0] == starts[1], boost::test_tools::per_element());
 }
