--- a/tests/dispatch/preemption_budget_test.cpp
+++ b/tests/dispatch/preemption_budget_test.cpp
@@ -114,7 +114,7 @@
     std::string add_about_to_be_late(const std::string& account = "other", std::uint32_t tasks = 1)
     {
         constexpr std::uint32_t estimate_ms = 2'000;
-        const std::string id = this->add(make_submission("q1", account, tasks, 8, estimate_ms, tasks > 1));
+        std::string id = this->add(make_submission("q1", account, tasks, 8, estimate_ms, tasks > 1));
         this->dispatch.job_runs().find(id)->arrived_at = this->now - milliseconds(2'850);
         return id;
     }
