--- a/libraries/dispatch/dispatcher.h
+++ b/libraries/dispatch/dispatcher.h
@@ -96,8 +96,8 @@
     // The zones in which nothing may be started from now on.
     void set_evacuations(const zone_evacuations& newest) { this->evacuations = newest; }
 
-    // The speeds of all executors for the next rounds; empty while the fleet counts as even. Without the option
-    // `places_by_speed` they have no effect.
+    // Speeds of executors that the next rounds use in place of those estimated from polls; empty: the estimated ones.
+    // Without the option `places_by_speed` they have no effect.
     void set_speeds(std::map<std::string, executor_pace, std::less<>> newest) { this->speeds = std::move(newest); }
 
     // Must not be called after the first change was collected. The default is progress_format::per_unit.
