--- a/libraries/dispatch/dispatcher.cpp
+++ b/libraries/dispatch/dispatcher.cpp
@@ -39,8 +39,8 @@
 // A caller's estimate may be too low by this factor.
 constexpr double estimate_error_margin = 2.0;
 
-// An urgent unit that fits only where it is late waits at most this long for a place that is being freed: a stop takes
-// at most 900 ms at the users' sites. The guarantee allows 2.9 s until a job starts.
+// An urgent unit that fits only where it is late waits at most this long for a place that is being freed: longer than
+// a stop takes (up to 900 ms), and less than half of the 2.9 s within which a guaranteed job must start.
 constexpr milliseconds better_place_wait{1'200};
 
 } // namespace
