--- a/review/stand_ins_3/deployment.py
+++ b/review/stand_ins_3/deployment.py
@@ -435,6 +435,7 @@
         self.executors = [Executor(self, f"e{number}", ports[number], labels)
                           for number, labels in enumerate(executor_labels)]
         self.routes = routes
+        self.advice_port = None  # For the settings: where the advisor is.
         self.tenants = [{"name": "t", "api-keys": ["key"], "priority": 1, "guaranteed": {"gpu": 0}},
                         {"name": "u", "api-keys": ["key-u"], "priority": 1, "guaranteed": {"gpu": 8}}]
         self.tasks = []
@@ -444,7 +445,8 @@
             return shlex.split(tomllib.load(file)["roles"]["node"]["run"])
 
     def write_settings(self, node):
-        with open(node.settings, "w", encoding="utf-8") as file:
+        advice = {"advice": f"127.0.0.1:{self.advice_port}"} if self.advice_port else {}
+        with open(node.settings + ".new", "w", encoding="utf-8") as file:
             json.dump({"node-name": node.name, "role": "node", "machine-class": "frontend", "serves": ["frontend"],
                        "ip": "127.0.0.1", "zone": "z", "region": "r", "zones": {"z": "r"},
                        "listen-addrs": {"frontend": f"127.0.0.1:{node.caller_port}",
@@ -455,11 +457,12 @@
                        "data-dir": None, "discovery": "platform", "entry": "vip", "heartbeat-ms": 1500,
                        "contracts": ["base", "drain", "config", "cost", "recover", "sched", "tenants", "platform"],
                        "fault-tolerance": {"machines": 2, "zones": 0, "regions": 0}, "bounds": BOUNDS,
-                       "control-mode": "call",
+                       "control-mode": "call", **advice,
                        "platform": {"address": f"127.0.0.1:{node.store_port}", "form": "log", "writes-per-s": 600,
                                     "reads-per-s": 2000, "parts": 8, "append-ms": 4.0, "part-mb-per-s": 20.0,
                                     "read-mb-per-s": 80.0, "record-bytes": 262144, "call-bytes": 2097152,
                                     "keep_s": 300, "part-mb": 200, "ttl-min-ms": 1000}}, file)
+        os.rename(node.settings + ".new", node.settings)
 
     async def start_node(self, node):
         output = open(node.log, "ab")
@@ -579,6 +582,30 @@
             print(self.folder)
 
 
+class Advisor:
+    """Permits all executors that a call names."""
+
+    def __init__(self, port):
+        self.port, self.is_up, self.connections, self.refused_connections, self.calls = port, True, set(), 0, 0
+        self.server = None
+
+    async def start(self):
+        self.server = await serve(self.port, self.handle, self)
+
+    def stop(self):
+        self.is_up = False
+        self.server.close()
+        for writer in list(self.connections):
+            writer.transport.abort()
+
+    async def handle(self, method, path, query, headers, content):
+        body = json.loads(content)
+        self.calls += 1
+        await asyncio.sleep(0.005 + 0.001 * len(body["workers"]))
+        good = [[worker, f"{body['step']}-{worker}"] for worker in body["workers"]]
+        return 200, json.dumps({"good": good, "valid-ms": 3000}).encode()
+
+
 class NotRunnable(Exception):
     """The case could not be brought about, so it says nothing of the rule."""
 
@@ -589,18 +616,24 @@
           {"name": "batch", "host": "h.example", "path-prefix": "/batch/", "kind": "unsafe", "timeout-ms": 3000,
            "target-duration-ms": 3000, "priority": 2, "service": "pool", "max-attempts": 3, "stretch": 3.0,
            "public": False}]
+ADVISED = {**ROUTES[1], "name": "advised", "path-prefix": "/advised/",
+           "advice": {"decide-ms": 5, "each-ms": 1, "valid-ms": 3000}}
 
 
-def run_case(folder, executor_labels, play, node_count=6):
+def run_case(folder, executor_labels, play, node_count=6, has_advisor=False):
     """Runs `play(deployment, trouble)`, which returns what broke the rule, or nothing. Exits with 0, 1 or 2."""
 
     async def run():
         record = os.path.join(os.path.abspath(folder), "record.txt")
-        deployment = Deployment(record, node_count, executor_labels, ROUTES)
+        deployment = Deployment(record, node_count, executor_labels, [*ROUTES, ADVISED])
         trouble = os.environ.get("TROUBLE", "1") != "0"
         deployment.record.add(f"trouble={int(trouble)}")
         try:
             async with asyncio.timeout(110):
+                if has_advisor:
+                    deployment.advisor = Advisor(free_ports(1)[0])
+                    deployment.advice_port = deployment.advisor.port
+                    await deployment.advisor.start()
                 await deployment.start()
                 broken = await play(deployment, trouble)
         except (NotRunnable, TimeoutError, OSError) as failure:
