--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -3,6 +3,6 @@
 # parse. wigeon-node itself comes from the build of deploy/system.toml.
 set -euo pipefail
 cd "$(dirname "$0")"
-for file in stand_ins_3/*.py 1[1-5]/*.py; do
+for file in stand_ins_3/*.py support-3/*.py 1[1-5]/*.py; do
     python3 -B -c 'import ast, sys; ast.parse(open(sys.argv[1], encoding="utf-8").read())' "$file"
 done
