--- a/review/stand_ins_3/deployment.py
+++ b/review/stand_ins_3/deployment.py
@@ -628,6 +628,8 @@
         deployment = Deployment(record, node_count, executor_labels, [*ROUTES, ADVISED])
         trouble = os.environ.get("TROUBLE", "1") != "0"
         deployment.record.add(f"trouble={int(trouble)}")
+        # Whoever ends the script ends what it has started.
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
         try:
             async with asyncio.timeout(110):
                 if has_advisor:
@@ -636,7 +638,7 @@
                     await deployment.advisor.start()
                 await deployment.start()
                 broken = await play(deployment, trouble)
-        except (NotRunnable, TimeoutError, OSError) as failure:
+        except (NotRunnable, TimeoutError, OSError, asyncio.CancelledError) as failure:
             deployment.record.add(f"could not run: {failure!r}")
             print(f"could not run: {failure!r}")
             return 2
--- a/review/support-3/stand_ins.py
+++ b/review/support-3/stand_ins.py
@@ -630,12 +630,14 @@
 
     async def play():
         system = System(os.path.join(folder, "record.txt"))
+        # Whoever ends the script ends what it has started.
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
         try:
             problem = await asyncio.wait_for(case(system, has_trouble), 110)
             system.note("result", broken=problem)
             print("broken: " + problem if problem else "held")
             return 1 if problem else 0
-        except (CannotRun, asyncio.TimeoutError, OSError) as failure:
+        except (CannotRun, asyncio.TimeoutError, OSError, asyncio.CancelledError) as failure:
             system.note("result", cannot_run=repr(failure))
             print("could not run:", repr(failure))
             return 2
