leader: orders are sent only while no follower can have claimed the term

A leader that was stopped for 3 s with the store's answer to a placement on its way woke, took the answer from its socket and sent the start. Its successor had meanwhile stopped that run and started the task on another executor; the first one had crashed, was back and knew no token.

Cause: the check before a start allowed 5 s since the last confirmed append (or a majority of executors that had answered polls, which a stopped process still believes), but followers claim after 1.6 s of silence. Stops were not checked at all, and a confirmation of any topic counted, although followers read only one.

Now starts and stops need a confirmed append to the topic that followers read, begun at most 1.2 s ago: 0.4 s less than the shortest silence before a claim. A follower counts from the record that it has read, which was stored after that append was begun, so no claim comes before the last order. Starts whose own append is confirmed later than that are withdrawn; their units are placed again, and the append of that placement tells whether this node still leads. Lease renewals keep their longer bound, since running work must survive an outage of the store.

Logs: starts_withheld with the age of the confirmation, and leader_was_paused with the length of the pause.

--- a/libraries/dispatch/dispatcher.cpp
+++ b/libraries/dispatch/dispatcher.cpp
@@ -602,8 +602,26 @@
     }
 }
 
-// Placements wait for their record to be stored; a zone may be evacuated meanwhile. None of a unit's tasks has been
-// ordered yet, so the whole unit waits for placement again.
+// None of a unit's tasks has been ordered yet, so the whole unit waits for placement again.
+void dispatcher::withdraw_start(const start_order& order, boot_time now)
+{
+    job_run* job = this->tracker.find(order.reference.job);
+    work_unit* unit = job == nullptr ? nullptr : job->units.find(order.reference.unit_row);
+    if (unit == nullptr || unit->run != order.reference.run || unit->placed_tasks.empty())
+        return;
+    this->events.add("start_withdrawn", job->id,
+                     "task=" + order.task + " run=" + std::to_string(order.reference.run) +
+                         " executor=" + order.executor);
+    this->tracker.stop_unit(*job, *unit, now);
+}
+
+void dispatcher::withdraw_starts(std::span<const start_order> starts, boot_time now)
+{
+    for (const start_order& order : starts)
+        this->withdraw_start(order, now);
+}
+
+// Placements wait for their record to be stored; a zone may be evacuated meanwhile.
 void dispatcher::withdraw_starts_in_evacuated_zones(std::span<const start_order> starts, boot_time now)
 {
     for (const start_order& order : starts) {
@@ -611,14 +629,7 @@
         if (target == nullptr ||
             (this->evacuations.is_current(now) && !this->evacuations.is_evacuated(target->entry.zone)))
             continue;
-        job_run* job = this->tracker.find(order.reference.job);
-        work_unit* unit = job == nullptr ? nullptr : job->units.find(order.reference.unit_row);
-        if (unit == nullptr || unit->run != order.reference.run || unit->placed_tasks.empty())
-            continue;
-        this->events.add("start_withdrawn", job->id,
-                         "task=" + order.task + " run=" + std::to_string(order.reference.run) +
-                             " executor=" + order.executor);
-        this->tracker.stop_unit(*job, *unit, now);
+        this->withdraw_start(order, now);
     }
 }
 
--- a/libraries/dispatch/dispatcher.h
+++ b/libraries/dispatch/dispatcher.h
@@ -139,6 +139,9 @@
     // Called when the changes are in the store. Returns the start orders that are still wanted.
     std::vector<start_order> confirm_changes(const dispatch_changes& changes, boot_time now);
 
+    // Called before confirm_changes() when the starts may not be sent: their units wait for placement again.
+    void withdraw_starts(std::span<const start_order> starts, boot_time now);
+
     std::vector<stop_order> collect_stops(boot_time now, std::size_t limit = std::numeric_limits<std::size_t>::max())
     {
         return this->tracker.collect_stops(now, limit);
@@ -194,6 +197,7 @@
     [[nodiscard]] bool collect_units_of(job_run& job, dispatch_changes& changes, std::size_t& bytes);
     [[nodiscard]] bool remove_unit_records(job_run& job, dispatch_changes& changes, std::size_t& bytes);
     void handle_end_stored(std::string_view id);
+    void withdraw_start(const start_order& order, boot_time now);
     void withdraw_starts_in_evacuated_zones(std::span<const start_order> starts, boot_time now);
     void report_evacuations(boot_time now);
     void observe_speed(const executor& source, const poll_report& report, boot_time now);
--- a/libraries/node/executor_sessions.cpp
+++ b/libraries/node/executor_sessions.cpp
@@ -247,10 +247,10 @@
 void executor_sessions::send_start(const start_order& order)
 {
     const boot_time now = boot_clock::now();
-    if (!this->is_active || !this->event_listener.check_leadership(now))
+    if (!this->is_active)
         return;
     executor* known_executor = this->job_dispatcher.executors().find(order.executor);
-    if (known_executor == nullptr || !known_executor->is_reached) {
+    if (known_executor == nullptr || !known_executor->is_reached || !this->event_listener.may_send_orders(now)) {
         this->job_dispatcher.handle_start_answer(order, start_answer::refused, now);
         return;
     }
@@ -306,7 +306,7 @@
 
 void executor_sessions::send_stops(boot_time now)
 {
-    if (!this->is_active)
+    if (!this->is_active || !this->event_listener.may_send_orders(now))
         return;
     const std::vector<stop_order> orders = this->job_dispatcher.collect_stops(now, max_stops_per_turn);
     if (orders.size() == max_stops_per_turn)
--- a/libraries/node/executor_sessions.h
+++ b/libraries/node/executor_sessions.h
@@ -27,9 +27,11 @@
         virtual void handle_change() = 0;
         // Called when an executor has refused this leader's fencing token, since it has seen a higher one.
         virtual void handle_fenced() = 0;
-        // Called before a lease is renewed or a start is sent. False when this process may have been replaced without
-        // knowing it; it has stopped these sessions then.
+        // Called before a lease is renewed. False when this process may have been replaced without knowing it and must
+        // not keep tasks running any more; it has stopped these sessions then.
         virtual bool check_leadership(boot_time now) = 0;
+        // Whether certainly no other process leads. Must hold when an order to start or stop a task is sent.
+        [[nodiscard]] virtual bool may_send_orders(boot_time now) const = 0;
     };
 
     executor_sessions(boost::asio::io_context& loop, const external_services& external, dispatcher& job_dispatcher,
--- a/libraries/node/leader.cpp
+++ b/libraries/node/leader.cpp
@@ -46,6 +46,9 @@
 // Interval of the checks whether a heartbeat is due while a new leader prepares.
 constexpr milliseconds heartbeat_check_interval{100};
 
+// A timer that runs this much too late shows that the process was stopped.
+constexpr milliseconds min_reported_pause{1'000};
+
 // Series of wigeon_account_share. Those of the largest shares show who holds the fleet; accounts are not bounded.
 constexpr std::size_t max_share_series = 10;
 
@@ -86,6 +89,7 @@
       job_dispatcher(options.limits, boot_clock::now()),
       converts_to_unit_records(options.converts_to_unit_records),
       max_evacuation_age(options.max_evacuation_age),
+      max_confirmation_age(options.max_confirmation_age),
       own_term(term),
       term_started_at(boot_clock::now()),
       scheduler(loop),
@@ -426,8 +430,10 @@
     this->round_timer.expires_after(delay);
     this->round_timer.async_wait([self = this->shared_from_this()](const boost::system::error_code& reason) {
         self->is_round_scheduled = false;
-        if (!reason && self->stage == phase::leading)
-            self->run_round();
+        if (reason || self->stage != phase::leading)
+            return;
+        self->report_pause(self->round_timer);
+        self->run_round();
     });
 }
 
@@ -457,8 +463,10 @@
     if (this->stage == phase::leading && !this->is_round_scheduled) {
         this->maintenance_timer.expires_after(maintenance_interval);
         this->maintenance_timer.async_wait([self = this->shared_from_this()](const boost::system::error_code& reason) {
-            if (!reason)
-                self->schedule_round(milliseconds(0));
+            if (reason)
+                return;
+            self->report_pause(self->maintenance_timer);
+            self->schedule_round(milliseconds(0));
         });
     }
 }
@@ -530,6 +538,8 @@
         return;
     }
     this->log_ended_jobs(changes);
+    if (!this->may_send_orders(now))
+        this->withhold_starts(changes, now);
     this->update_evacuations();
     for (const start_order& order : this->job_dispatcher.confirm_changes(changes, now))
         this->sessions->send_start(order);
@@ -539,6 +549,20 @@
     this->schedule_round(this->next_round_delay);
 }
 
+// The confirmation came too late: another node may lead by now. The units wait for placement again, and the append that
+// records the next placement tells whether this node still leads.
+void leader::withhold_starts(const dispatch_changes& changes, boot_time now)
+{
+    if (changes.starts.empty())
+        return;
+    log_event("starts_withheld",
+              {{"term", std::to_string(this->own_term)},
+               {"starts", std::to_string(changes.starts.size())},
+               {"confirmation_age_ms", std::to_string((now - this->recorder->heartbeat_confirmed_as_of()).count())}});
+    process_metrics().count("wigeon_starts_withheld_total", changes.starts.size());
+    this->job_dispatcher.withdraw_starts(changes.starts, now);
+}
+
 void leader::log_ended_jobs(const dispatch_changes& changes) const
 {
     const auto log_end = [this](const std::string& job, records::JobPhase phase) {
@@ -597,6 +621,24 @@
     return false;
 }
 
+// Followers count the silence of a leader from its last record that they have read, which was stored after its append
+// was begun.
+bool leader::may_send_orders(boot_time now) const
+{
+    return !this->is_resignation_in_flight &&
+           now - this->recorder->heartbeat_confirmed_as_of() <= this->max_confirmation_age;
+}
+
+void leader::report_pause(const boost::asio::steady_timer& expired) const
+{
+    const auto length =
+        std::chrono::duration_cast<milliseconds>(boost::asio::steady_timer::clock_type::now() - expired.expiry());
+    if (length < min_reported_pause)
+        return;
+    log_event("leader_was_paused",
+              {{"term", std::to_string(this->own_term)}, {"length_ms", std::to_string(length.count())}});
+}
+
 void leader::log_events()
 {
     for (const dispatch_event& event : this->job_dispatcher.take_events())
--- a/libraries/node/leader.h
+++ b/libraries/node/leader.h
@@ -33,6 +33,9 @@
     bool converts_to_unit_records = false;
     // Nothing is started while the evacuations were last read longer ago than this. None: the deployment has no limit.
     std::optional<milliseconds> max_evacuation_age{};
+    // Orders are sent only while the last confirmed append that followers read was begun no longer ago than this.
+    // Shorter than the silence after which a follower claims the term, by more than the clocks may differ in that time.
+    milliseconds max_confirmation_age{0};
 };
 
 enum class leadership_end : std::uint8_t {
@@ -68,6 +71,7 @@
     void handle_change() override;
     void handle_fenced() override;
     bool check_leadership(boot_time now) override;
+    [[nodiscard]] bool may_send_orders(boot_time now) const override;
 
     [[nodiscard]] std::uint64_t term() const { return this->own_term; }
     [[nodiscard]] bool is_leading() const { return this->stage == phase::leading; }
@@ -99,6 +103,8 @@
     void log_ended_jobs(const dispatch_changes& changes) const;
     void log_events();
     [[nodiscard]] bool may_decide(boot_time now) const;
+    void withhold_starts(const dispatch_changes& changes, boot_time now);
+    void report_pause(const boost::asio::steady_timer& expired) const;
     void update_evacuations();
     void report_evacuated_tasks() const;
     void report_speeds() const;
@@ -110,6 +116,7 @@
     dispatcher job_dispatcher;
     const bool converts_to_unit_records;
     const std::optional<milliseconds> max_evacuation_age;
+    const milliseconds max_confirmation_age;
     const std::uint64_t own_term;
     const boot_time term_started_at;
     phase stage = phase::fencing;
--- a/libraries/node/progress_recorder.h
+++ b/libraries/node/progress_recorder.h
@@ -57,6 +57,8 @@
         return std::max({this->job_writer->confirmed_as_of(), this->unit_writer->confirmed_as_of(),
                          this->state_writer->confirmed_as_of()});
     }
+    // The same for the topic that followers read.
+    [[nodiscard]] boot_time heartbeat_confirmed_as_of() const { return this->followed_writer().confirmed_as_of(); }
     [[nodiscard]] bool has_timed_out(boot_time now) const { return this->followed_writer().has_timed_out(now); }
 
 private:
--- a/services/node/main.cpp
+++ b/services/node/main.cpp
@@ -63,11 +63,16 @@
 // Followers treat the leader as gone after four missed heartbeats. A weak host waits longer, so that a stronger one can
 // claim the leadership first.
 constexpr milliseconds leader_timeout{1'600};
+
 constexpr milliseconds resignation_delay{30}; // Replaces the timeout after a resignation.
 constexpr milliseconds weak_host_delay{600};
 constexpr milliseconds claim_jitter{200};
 constexpr double strong_host_cpu_share = 0.25;
 
+// Left between the last order that a leader may send and the earliest claim of a follower: for the time between the
+// check and the send, and for clocks that run at different rates.
+constexpr milliseconds takeover_margin{400};
+
 // Weak hosts, which are many and claim later anyway, read less often. The number of waiting jobs may be 2 s old.
 constexpr follower_pace weak_host_pace{milliseconds(1'000), milliseconds(2'000), milliseconds(2'500)};
 
@@ -115,6 +120,7 @@
     if (settings.evacuation_limit)
         options.leading.max_evacuation_age =
             std::max(*settings.evacuation_limit - evacuation_margin, evacuation_margin);
+    options.leading.max_confirmation_age = leader_timeout - takeover_margin;
     options.leading.job_retention = std::max<milliseconds>(settings.job_state_retention * job_retention_factor,
                                                            std::chrono::seconds(FLAGS_job_retention_s));
     options.service_limits.max_policy_age = settings.revocation_limit - revocation_margin;
--- a/tests/models/scripted_store.cpp
+++ b/tests/models/scripted_store.cpp
@@ -26,7 +26,11 @@
     case store_fault::unreachable:
         break;
     }
-    boost::asio::post(this->loop, [result, done = std::move(done)] { done(result); });
+    boost::asio::post(this->loop, [this, result, topic = std::string(topic), done = std::move(done)] {
+        if (const auto hook = this->before_append_answer)
+            hook(topic);
+        done(result);
+    });
 }
 
 void scripted_store::append_unkeyed(std::string_view topic, std::string_view record, const append_condition& condition,
--- a/tests/models/scripted_store.h
+++ b/tests/models/scripted_store.h
@@ -29,6 +29,8 @@
     bool ignores_long_polls = false; // Reads with a wait time are never answered.
     bool ignores_appends = false;    // Appends are never answered.
     std::size_t append_calls = 0;
+    // Called once an append has been carried out and before it is answered. Empty: nothing is called.
+    std::function<void(std::string_view topic)> before_append_answer;
     std::size_t page_size = 2; // Small, so that tests read several pages.
 
     [[nodiscard]] append_limits limits() const override { return this->model.limits; }
--- a/tests/node/leader_test.cpp
+++ b/tests/node/leader_test.cpp
@@ -1,10 +1,11 @@
-// One term of leadership on a scripted store, with executors that only answer polls.
+// One term of leadership on a scripted store, with executors that answer polls and record the orders that they get.
 
 #include <algorithm>
 #include <memory>
 #include <optional>
 #include <span>
 #include <string>
+#include <thread>
 #include <utility>
 #include <vector>
 
@@ -21,6 +22,7 @@
 namespace {
 
 constexpr dispatch_limits limits{milliseconds(6'000), milliseconds(200), milliseconds(5'000)};
+constexpr milliseconds max_confirmation_age{1'200};
 
 class fixed_documents : public document_decoder {
 public:
@@ -66,15 +68,23 @@
         });
     }
 
-    void start(const executor_target&, const start_order&, milliseconds, std::uint64_t,
+    void start(const executor_target&, const start_order& order, milliseconds, std::uint64_t,
                std::function<void(order_result)>) override
     {
+        this->starts.push_back(order);
+    }
+
+    void stop(const executor_target&, const stop_order& order, std::uint64_t,
+              std::function<void(order_result)>) override
+    {
+        this->stops.push_back(order);
     }
 
-    void stop(const executor_target&, const stop_order&, std::uint64_t, std::function<void(order_result)>) override {}
     void close_connections(const std::string&) override {}
 
     std::vector<poll_request> polls;
+    std::vector<start_order> starts;
+    std::vector<stop_order> stops;
 
 private:
     boost::asio::io_context& loop;
@@ -154,6 +164,37 @@
         }
     }
 
+    void add_job(const std::string& id)
+    {
+        records::Submission submission;
+        submission.set_queue("q");
+        submission.add_steps()->set_count(1);
+        this->add_record(jobs_topic, id, submission.SerializeAsString());
+    }
+
+    // What the next leader does first.
+    void fence_off_leader(std::uint64_t term)
+    {
+        for (const std::string_view topic : {progress_topic, units_topic, states_topic}) {
+            append_condition condition;
+            condition.producer = {"leader", term + 1, 0};
+            this->store.model.append(std::string(topic), {}, condition);
+        }
+    }
+
+    // Stops this process while the answer to the append that records a placement is on its way.
+    void pause_at_next_placement(
+        milliseconds length, std::function<void()> meanwhile = [] {})
+    {
+        this->store.before_append_answer = [this, length, meanwhile = std::move(meanwhile)](std::string_view topic) {
+            if (topic != units_topic)
+                return;
+            this->store.before_append_answer = nullptr;
+            std::this_thread::sleep_for(length);
+            meanwhile();
+        };
+    }
+
     [[nodiscard]] bool has_renewed_a_lease() const
     {
         return std::any_of(this->executors.polls.begin(), this->executors.polls.end(),
@@ -163,6 +204,7 @@
     void start_leader(std::uint64_t term)
     {
         leader_options options{{"node", 1}, limits, milliseconds(60'000), true};
+        options.max_confirmation_age = max_confirmation_age;
         this->current = std::make_shared<leader>(this->loop, this->external, this->state, options, term);
         this->end.reset();
         this->current->start([this](leadership_end reason) { this->end = reason; });
@@ -188,6 +230,37 @@
     }
 }
 
+BOOST_AUTO_TEST_SUITE(a_pause_of_the_leader)
+
+// Guards against the start of a task that the next leader has started elsewhere (review case 11): the paused leader
+// took the store's answer from its socket and acted on it, since its check allowed three times the silence after which
+// followers take over.
+BOOST_FIXTURE_TEST_CASE(with_a_placement_on_its_way_to_the_store_sends_no_start_for_the_former_term, leader_fixture)
+{
+    this->start_leader(0);
+    this->run_until([&] { return this->current->is_leading(); });
+    this->pause_at_next_placement(max_confirmation_age + milliseconds(100), [this] { this->fence_off_leader(1); });
+    this->add_job("job");
+    this->run_until([&] { return this->end.has_value(); });
+    BOOST_TEST((*this->end == leadership_end::fenced_at_store));
+    BOOST_TEST(this->executors.starts.empty());
+    BOOST_TEST(this->executors.stops.empty());
+}
+
+// Guards against work that is lost because a leader that still leads has withheld its start.
+BOOST_FIXTURE_TEST_CASE(without_a_successor_only_delays_the_start, leader_fixture)
+{
+    this->start_leader(0);
+    this->run_until([&] { return this->current->is_leading(); });
+    this->pause_at_next_placement(max_confirmation_age + milliseconds(100));
+    this->add_job("job");
+    this->run_until([&] { return !this->executors.starts.empty(); });
+    BOOST_TEST(this->executors.starts.front().reference.run == 2U);
+    BOOST_TEST(!this->end.has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(a_takeover)
 
 // Guards against a restoration whose time grows with the square of a job's tasks (review case 7): the new leader sent
