executors: orders, acknowledgements and leases reach only the incarnation that they were decided for

An executor that had crashed and was back under its id began a task on an order that had been decided for its former incarnation; the task ran elsewhere by then.

Cause: Expect-Instance holds the id alone, which an executor keeps across a restart, and start_order::incarnation_ms was filled and not used. An http client that found its connection closed opened a new one to whatever process listens at the address now. The same holds for polls: their last-seen drops ends of the new incarnation that no leader has read, as these are numbered from 1 again.

Now a connection is marked with the incarnation that has answered a poll on it. A connection leads to one process until it is closed, so an order that is written to a marked connection reaches that incarnation or nobody, however long it was in a stopped process, in a socket or in a proxy. A start is sent on such a connection only; without one, a poll that neither waits nor extends leases asks first, and the start is not sent if another incarnation answers (outcome unreachable, reason "restarted"). A poll on a connection that is not marked yet carries no acknowledgement, no lease and no wait. Stops stay as they were: on a later incarnation they only make it refuse the run. An executor that closes each connection gets whole calls, as before. What an executor process carries out late itself dies with that process.

--- a/libraries/net/http_client.cpp
+++ b/libraries/net/http_client.cpp
@@ -2,10 +2,12 @@
 
 #include "net/http_client.h"
 
+#include <algorithm>
 #include <sys/socket.h>
 #include <utility>
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
@@ -37,6 +39,9 @@
     }
 
     void call(outgoing_request request, milliseconds timeout, call_handler done);
+    bool mark_connection(std::uint64_t number, std::uint64_t mark);
+    [[nodiscard]] bool has_marked_connection(std::uint64_t mark);
+    void call_marked(std::uint64_t mark, outgoing_request request, milliseconds timeout, call_handler done);
 
 private:
     struct http_connection {
@@ -47,6 +52,8 @@
         http::request<http::string_body> request;
         std::unique_ptr<http::response_parser<http::string_body>> parser;
         call_handler done;
+        std::uint64_t number = 0; // Unique within the pool.
+        std::uint64_t mark = 0;   // 0: none.
         boot_time opened;
         boot_time last_used;
         milliseconds timeout{0};
@@ -54,7 +61,11 @@
 
     using connection_pointer = std::shared_ptr<http_connection>;
 
+    [[nodiscard]] bool is_usable(const connection_pointer& connection) const;
     [[nodiscard]] connection_pointer take_idle();
+    [[nodiscard]] connection_pointer take_marked(std::uint64_t mark);
+    void prepare(const connection_pointer& connection, outgoing_request request, milliseconds timeout,
+                 call_handler done);
     void open(const connection_pointer& connection);
     void send(const connection_pointer& connection);
     void receive(const connection_pointer& connection);
@@ -65,33 +76,98 @@
     asio::ip::tcp::endpoint peer;
     connection_limits limits;
     std::vector<connection_pointer> idle; // Least recently used first.
+    std::uint64_t opened_count = 0;
 };
 
-// Returns an idle connection that the peer has not closed, or null.
+// Whether the connection was not idle for too long and the peer has not closed it.
+bool http_client::pool::is_usable(const connection_pointer& connection) const
+{
+    if (boot_clock::now() - connection->last_used > this->limits.idle_timeout)
+        return false;
+    char peeked_byte = 0;
+    const ssize_t peeked =
+        ::recv(connection->stream.socket().native_handle(), &peeked_byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return peeked < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+// Returns a usable idle connection, or null.
 http_client::pool::connection_pointer http_client::pool::take_idle()
 {
-    const boot_time now = boot_clock::now();
     while (!this->idle.empty()) {
         connection_pointer connection = std::move(this->idle.back());
         this->idle.pop_back();
-        if (now - connection->last_used > this->limits.idle_timeout)
+        if (this->is_usable(connection))
+            return connection;
+    }
+    return nullptr;
+}
+
+// Returns a usable idle connection with the mark, or null. Closes those with the mark that are not usable.
+http_client::pool::connection_pointer http_client::pool::take_marked(std::uint64_t mark)
+{
+    for (auto next = this->idle.end(); next != this->idle.begin();) {
+        --next;
+        if ((*next)->mark != mark)
             continue;
-        char peeked_byte = 0;
-        const ssize_t peeked =
-            ::recv(connection->stream.socket().native_handle(), &peeked_byte, 1, MSG_PEEK | MSG_DONTWAIT);
-        const bool is_open = peeked < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
-        if (is_open)
+        const connection_pointer connection = std::move(*next);
+        next = this->idle.erase(next);
+        if (this->is_usable(connection))
             return connection;
     }
     return nullptr;
 }
 
+bool http_client::pool::mark_connection(std::uint64_t number, std::uint64_t mark)
+{
+    const auto found =
+        std::ranges::find_if(this->idle, [number](const connection_pointer& c) { return c->number == number; });
+    if (found == this->idle.end())
+        return false;
+    (*found)->mark = mark;
+    return true;
+}
+
+bool http_client::pool::has_marked_connection(std::uint64_t mark)
+{
+    const connection_pointer connection = this->take_marked(mark);
+    if (!connection)
+        return false;
+    this->idle.push_back(connection);
+    return true;
+}
+
 void http_client::pool::call(outgoing_request request, milliseconds timeout, call_handler done)
 {
     connection_pointer connection = this->take_idle();
     const bool is_reused = connection != nullptr;
-    if (!is_reused)
+    if (!is_reused) {
         connection = std::make_shared<http_connection>(this->loop);
+        connection->number = ++this->opened_count;
+    }
+    this->prepare(connection, std::move(request), timeout, std::move(done));
+    if (is_reused)
+        this->send(connection);
+    else
+        this->open(connection);
+}
+
+void http_client::pool::call_marked(std::uint64_t mark, outgoing_request request, milliseconds timeout,
+                                    call_handler done)
+{
+    const connection_pointer connection = this->take_marked(mark);
+    if (!connection) {
+        asio::post(this->loop, [done = std::move(done)] {
+            done({call_outcome::not_sent, 0, "no connection with this mark"});
+        });
+        return;
+    }
+    this->prepare(connection, std::move(request), timeout, std::move(done));
+    this->send(connection);
+}
+
+void http_client::pool::prepare(const connection_pointer& connection, outgoing_request request, milliseconds timeout,
+                                call_handler done)
+{
     connection->request = {};
     connection->request.method_string(request.method);
     connection->request.target(request.target);
@@ -104,10 +180,6 @@
     connection->request.prepare_payload();
     connection->done = std::move(done);
     connection->timeout = timeout;
-    if (is_reused)
-        this->send(connection);
-    else
-        this->open(connection);
 }
 
 void http_client::pool::open(const connection_pointer& connection)
@@ -161,7 +233,8 @@
         connection->last_used = boot_clock::now();
         this->idle.push_back(connection);
     }
-    done({call_outcome::answered, static_cast<int>(response.result_int()), std::move(response.body())});
+    done({call_outcome::answered, static_cast<int>(response.result_int()), std::move(response.body()),
+          connection->number});
 }
 
 void http_client::pool::fail(const connection_pointer& connection, call_outcome outcome, const error_code& reason)
@@ -190,4 +263,19 @@
     this->connections->call(std::move(request), timeout, std::move(done));
 }
 
+bool http_client::mark_connection(std::uint64_t connection, std::uint64_t mark)
+{
+    return this->connections->mark_connection(connection, mark);
+}
+
+bool http_client::has_marked_connection(std::uint64_t mark) const
+{
+    return this->connections->has_marked_connection(mark);
+}
+
+void http_client::call_marked(std::uint64_t mark, outgoing_request request, milliseconds timeout, call_handler done)
+{
+    this->connections->call_marked(mark, std::move(request), timeout, std::move(done));
+}
+
 } // namespace wigeon
--- a/libraries/net/http_client.h
+++ b/libraries/net/http_client.h
@@ -2,6 +2,7 @@
 
 #pragma once
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -31,6 +32,17 @@
     // without a reset.
     void call(outgoing_request request, milliseconds timeout, call_handler done);
 
+    // Marks a connection with what the caller has learned of the process at its other end. A connection leads to one
+    // process until it is closed, so the mark stays true. Returns false, without effect, when the connection carries a
+    // call or was closed. `mark` is not 0.
+    bool mark_connection(std::uint64_t connection, std::uint64_t mark);
+
+    // Whether an idle connection has the mark.
+    [[nodiscard]] bool has_marked_connection(std::uint64_t mark) const;
+
+    // Like call(), but only on an idle connection with the mark. Without one, the outcome is not_sent.
+    void call_marked(std::uint64_t mark, outgoing_request request, milliseconds timeout, call_handler done);
+
 private:
     class pool;
     std::shared_ptr<pool> connections;
--- a/libraries/net/http_message.h
+++ b/libraries/net/http_message.h
@@ -34,8 +34,9 @@
 
 struct call_result {
     call_outcome outcome = call_outcome::unknown;
-    int status = 0;   // 0 unless answered.
-    std::string body; // Of the reply; unless answered, the reason for the log.
+    int status = 0;               // 0 unless answered.
+    std::string body;             // Of the reply; unless answered, the reason for the log.
+    std::uint64_t connection = 0; // Number of the connection that carried the reply; 0 unless answered.
 };
 
 using call_handler = std::function<void(call_result)>;
--- a/libraries/node/executor_service.h
+++ b/libraries/node/executor_service.h
@@ -46,6 +46,7 @@
 struct executor_target {
     std::string id;
     std::string address;
+    std::uint64_t incarnation_ms = 0; // Incarnation that the call is meant for; 0: not known.
 };
 
 struct order_result {
@@ -57,10 +58,15 @@
 public:
     virtual ~executor_service() = default;
 
+    // A call that certainly reaches only the incarnation of the target carries the whole request. Another one leaves
+    // out the end to acknowledge, the lease and the wait, which could harm a later incarnation.
     virtual void poll(const executor_target& target, const poll_request& request,
                       std::function<void(poll_result)> done) = 0;
+    // The order reaches only the incarnation of the target, however late. It is not sent when that incarnation does not
+    // answer at the address any more (unreachable).
     virtual void start(const executor_target& target, const start_order& order, milliseconds lease_deadline,
                        std::uint64_t fencing_token, std::function<void(order_result)> done) = 0;
+    // Reaches a later incarnation as well, which then refuses the run.
     virtual void stop(const executor_target& target, const stop_order& order, std::uint64_t fencing_token,
                       std::function<void(order_result)> done) = 0;
 
--- a/libraries/node/executor_sessions.cpp
+++ b/libraries/node/executor_sessions.cpp
@@ -46,6 +46,11 @@
 // its entry, more often than every 2 s, so reads keep an interval instead of waiting for records.
 constexpr read_timing directory_timing{milliseconds(0), milliseconds(400)};
 
+executor_target make_target(const executor& known_executor)
+{
+    return {known_executor.entry.id, known_executor.entry.address, known_executor.entry.incarnation_ms};
+}
+
 } // namespace
 
 // Applies the executors' directory entries to the dispatcher and opens their sessions.
@@ -191,7 +196,7 @@
     // The first answer tells the executor's clock.
     if (known_executor->is_reached)
         request.lease_deadline = this->job_dispatcher.executors().extend_lease(*known_executor, now);
-    this->executors.poll({id, known_executor->entry.address}, request,
+    this->executors.poll(make_target(*known_executor), request,
                          [self = this->shared_from_this(), id, now](const poll_result& result) {
                              self->handle_renewal_result(id, now, result);
                          });
@@ -255,7 +260,7 @@
         return;
     }
     const milliseconds deadline = this->job_dispatcher.executors().extend_lease(*known_executor, now);
-    const executor_target target{order.executor, known_executor->entry.address};
+    const executor_target target{order.executor, known_executor->entry.address, order.incarnation_ms};
     this->executors.start(target, order, deadline, this->fencing_token,
                           [self = this->shared_from_this(), order, sent_at = now](const order_result& result) {
                               if (!self->is_active)
@@ -349,7 +354,7 @@
         request.fencing_token = self->fencing_token;
         request.end_to_acknowledge = known_executor->find_end_to_acknowledge();
         const boot_time now = boot_clock::now();
-        self->executors.poll({order.executor, known_executor->entry.address}, request,
+        self->executors.poll(make_target(*known_executor), request,
                              [self, id = order.executor, now](const poll_result& result) {
                                  if (!self->is_active || result.outcome != request_outcome::accepted)
                                      return;
@@ -401,7 +406,7 @@
         request.wait = has_unrecorded_ends ? milliseconds(0) : has_tasks ? busy_poll_wait : idle_poll_wait;
     }
     polled.is_polling = true;
-    this->executors.poll({id, known_executor->entry.address}, request,
+    this->executors.poll(make_target(*known_executor), request,
                          [self = this->shared_from_this(), id, now](const poll_result& result) {
                              self->handle_poll_result(id, now, result);
                          });
