callers: the cancellation of a job that the store does not hold is recorded

The submission was answered with 504, since the store had not answered its append; the DELETE was answered with 410, since the store held no such job. The store then carried out the append, and the job ran when it was due.

Cause: a submission is appended without a condition, so an append without an answer can take effect at any later time, and its node may be gone by then. The DELETE of a job that the store did not hold wrote nothing that such a job would meet.

Now such a DELETE appends the cancellation, and is answered with 410 once that is stored. Whichever node reads the two records, in whichever order, takes the job as cancelled, also after a restart and after a change of the leader; so it does not matter which process was asked, nor whether it still lives. A submission with the same id that is sent again is the same job and stays cancelled. The record names the account of the caller and cancels only submissions of that account. A condition on each submission (the expected end of its partition, or a producer for each job) would end late appends as well, but makes concurrent nodes repeat their appends, or forbids group commit.

Bounded: one record a job id however often it is deleted, 5,000 for each account (about 200 bytes each in a node, 60 in the store); further ones get 503. A DELETE of an unknown job costs one append more than before, in a group commit.

--- a/libraries/jobs/job_table.cpp
+++ b/libraries/jobs/job_table.cpp
@@ -24,6 +24,14 @@
            phase == records::JOB_PHASE_CANCELLED;
 }
 
+bool early_cancellation::applies_to(std::string_view account) const
+{
+    const auto& accounts = this->content.accounts();
+    return accounts.empty() || account.empty() ||
+           std::any_of(accounts.begin(), accounts.end(),
+                       [account](const std::string& own) { return own.empty() || own == account; });
+}
+
 bool job_entry::is_final() const
 {
     return wigeon::is_final(this->progress.phase());
@@ -50,9 +58,13 @@
 {
     const auto cancelled = parse_cancel_key(record.key);
     const std::string_view job = cancelled ? *cancelled : std::string_view(record.key);
+    if (!record.value && cancelled) {
+        // The cancellation of a known submission is dropped with its job.
+        this->early_cancellations.erase(std::string(job));
+        return true;
+    }
     if (!record.value) {
-        // The tombstone of a cancellation changes nothing: the cancellation is dropped with its job.
-        const auto found = cancelled ? this->jobs.end() : this->jobs.find(job);
+        const auto found = this->jobs.find(job);
         if (found != this->jobs.end() && found->second.submission) {
             found->second.submission.reset();
             found->second.submission_removed_since = now;
@@ -60,7 +72,7 @@
         return true;
     }
     if (cancelled) {
-        this->find_or_create(job, now).is_cancel_requested = true;
+        this->apply_cancellation(job, *record.value, now);
         return true;
     }
     records::Submission submission;
@@ -70,9 +82,31 @@
     if (!entry.submission)
         entry.submission = std::move(submission);
     entry.submission_removed_since.reset();
+    const auto cancellation = this->early_cancellations.find(job);
+    if (cancellation != this->early_cancellations.end() &&
+        cancellation->second.applies_to(entry.submission->account())) {
+        entry.is_cancel_requested = true;
+        this->early_cancellations.erase(cancellation);
+    }
     return true;
 }
 
+// The store may hold the cancellation before the submission, since a submission whose append got no answer can take
+// effect later.
+void job_table::apply_cancellation(std::string_view job, const std::string& value, boot_time now)
+{
+    early_cancellation cancellation;
+    if (!cancellation.content.ParseFromString(value))
+        cancellation.content.Clear();
+    cancellation.read_at = now;
+    const auto found = this->jobs.find(job);
+    const bool is_known = found != this->jobs.end() && found->second.submission;
+    if (is_known && cancellation.applies_to(found->second.submission->account()))
+        found->second.is_cancel_requested = true;
+    else
+        this->early_cancellations.insert_or_assign(std::string(job), std::move(cancellation));
+}
+
 bool job_table::apply_progress_record(const keyed_record& record, boot_time now)
 {
     if (record.key == leader_key)
@@ -145,6 +179,9 @@
 
 void job_table::drop_removed_submissions(const std::map<std::string, std::uint64_t, std::less<>>& keys, boot_time now)
 {
+    std::erase_if(this->early_cancellations, [&keys, now](const auto& entry) {
+        return now - entry.second.read_at > removal_propagation_limit && !keys.contains(make_cancel_key(entry.first));
+    });
     for (auto& [id, job] : this->jobs) {
         // `keys` may lack a job that was submitted while they were read, but such a job has not ended long ago.
         const bool has_ended_long_ago =
@@ -156,6 +193,34 @@
     }
 }
 
+std::vector<keyed_record> job_table::list_expired_cancellations(milliseconds retention, std::size_t limit,
+                                                                boot_time now) const
+{
+    std::vector<keyed_record> removals;
+    for (const auto& [job, cancellation] : this->early_cancellations) {
+        if (removals.size() >= limit)
+            break;
+        if (now - cancellation.read_at > retention)
+            removals.push_back({make_cancel_key(job), std::nullopt});
+    }
+    return removals;
+}
+
+const early_cancellation* job_table::find_early_cancellation(std::string_view job) const
+{
+    const auto found = this->early_cancellations.find(job);
+    return found == this->early_cancellations.end() ? nullptr : &found->second;
+}
+
+std::size_t job_table::count_early_cancellations(std::string_view account) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(this->early_cancellations.begin(), this->early_cancellations.end(), [account](const auto& entry) {
+            const auto& accounts = entry.second.content.accounts();
+            return std::find(accounts.begin(), accounts.end(), account) != accounts.end();
+        }));
+}
+
 std::vector<keyed_record> job_table::list_expired_progress(std::size_t limit, boot_time now) const
 {
     std::vector<keyed_record> removals;
--- a/libraries/jobs/job_table.h
+++ b/libraries/jobs/job_table.h
@@ -33,6 +33,15 @@
 
 bool is_final(records::JobPhase phase);
 
+// A cancellation of a job whose submission is not known here: it may still be on its way to the store.
+struct early_cancellation {
+    records::EarlyCancellation content; // Without accounts: the job is cancelled whatever its account.
+    boot_time read_at;                  // Of the newest record.
+
+    // Whether it cancels a submission of the account.
+    [[nodiscard]] bool applies_to(std::string_view account) const;
+};
+
 class job_table {
 public:
     // Apply a record of the topic of jobs or of progress per job. Return false, without a change, when it can't be
@@ -51,10 +60,18 @@
     // job and run again.
     [[nodiscard]] std::vector<keyed_record> list_expired_submissions(milliseconds retention, std::size_t limit,
                                                                      boot_time now) const;
-    // Drops the submissions of jobs that ended long ago and are not among `keys`, the keys of all records in the jobs
-    // topic.
+    // Drops the submissions of jobs that ended long ago, and the early cancellations that were read long ago, that are
+    // not among `keys`, the keys of all records in the jobs topic.
     void drop_removed_submissions(const std::map<std::string, std::uint64_t, std::less<>>& keys, boot_time now);
 
+    // Returns tombstones for the early cancellations that were read longer ago than `retention`, at most `limit`.
+    [[nodiscard]] std::vector<keyed_record> list_expired_cancellations(milliseconds retention, std::size_t limit,
+                                                                       boot_time now) const;
+
+    // Returns nullptr when the submission is known or no cancellation is.
+    [[nodiscard]] const early_cancellation* find_early_cancellation(std::string_view job) const;
+    [[nodiscard]] std::size_t count_early_cancellations(std::string_view account) const;
+
     // Returns tombstones for the progress or states of ended jobs, at most `limit`. Includes only jobs whose submission
     // was removed so long ago that no process still holds it.
     [[nodiscard]] std::vector<keyed_record> list_expired_progress(std::size_t limit, boot_time now) const;
@@ -63,11 +80,14 @@
     [[nodiscard]] std::size_t count_waiting(std::string_view queue) const;
 
 private:
+    void apply_cancellation(std::string_view job, const std::string& value, boot_time now);
     job_entry& find_or_create(std::string_view job, boot_time now);
     void remove_progress(std::string_view job);
     void set_progress(std::string_view job, records::JobProgress progress, boot_time now);
 
     std::map<std::string, job_entry, std::less<>> jobs;
+    // By job. Those of jobs with a known submission belong to other accounts than the submission.
+    std::map<std::string, early_cancellation, std::less<>> early_cancellations;
 };
 
 } // namespace wigeon
--- a/libraries/node/caller_service.cpp
+++ b/libraries/node/caller_service.cpp
@@ -28,6 +28,10 @@
 
 constexpr milliseconds write_retry_delay{80};
 
+// Cancellations of jobs that the store does not hold, for one account. Each takes about 200 bytes in every node and 60
+// in the store until its retention is over.
+constexpr std::size_t max_early_cancellations = 5'000;
+
 // A caller is answered this long before it stops waiting.
 constexpr milliseconds answer_margin{100};
 
@@ -82,6 +86,31 @@
     this->write({make_cancel_key(job), std::string("1")}, now, caller_timeout, std::move(done));
 }
 
+void caller_service::cancel_unknown(const std::string& job, const std::string& account, boot_time now,
+                                    milliseconds caller_timeout, std::function<void(write_outcome)> done)
+{
+    records::EarlyCancellation cancellation;
+    if (const early_cancellation* known = this->state.jobs().find_early_cancellation(job)) {
+        // An older one is recorded anew, since it may be removed soon.
+        if (known->applies_to(account) && now - known->read_at < this->limits.early_cancellation_retention / 2) {
+            done(write_outcome::stored);
+            return;
+        }
+        cancellation = known->content;
+        if (cancellation.accounts().empty()) // Cancels the job whatever its account.
+            cancellation.add_accounts("");
+    }
+    if (this->state.jobs().count_early_cancellations(account) >= max_early_cancellations) {
+        count_refusal("too_many_early_cancellations");
+        done(write_outcome::refused);
+        return;
+    }
+    const auto& accounts = cancellation.accounts();
+    if (std::find(accounts.begin(), accounts.end(), account) == accounts.end())
+        cancellation.add_accounts(account);
+    this->write({make_cancel_key(job), cancellation.SerializeAsString()}, now, caller_timeout, std::move(done));
+}
+
 void caller_service::write(keyed_record record, boot_time now, milliseconds caller_timeout,
                            std::function<void(write_outcome)> done)
 {
--- a/libraries/node/caller_service.h
+++ b/libraries/node/caller_service.h
@@ -42,6 +42,9 @@
 
 struct caller_service_limits {
     milliseconds max_policy_age{0}; // Keys are not accepted when the configuration was last confirmed longer ago.
+    // How long the store keeps the cancellation of a job that it did not hold. Longer than a submission can be on its
+    // way to the store.
+    milliseconds early_cancellation_retention{0};
 };
 
 class caller_service : public std::enable_shared_from_this<caller_service> {
@@ -59,6 +62,12 @@
                 milliseconds caller_timeout, std::function<void(write_outcome)> done);
     void cancel(const std::string& job, boot_time now, milliseconds caller_timeout,
                 std::function<void(write_outcome)> done);
+
+    // Cancels a job that the store does not hold: its submission may still be on its way there. A submission of the
+    // account that the store gets later is cancelled with it. Refused while too many such cancellations are kept for
+    // the account.
+    void cancel_unknown(const std::string& job, const std::string& account, boot_time now, milliseconds caller_timeout,
+                        std::function<void(write_outcome)> done);
     void read(const std::string& job, boot_time now, std::function<void(job_view)> done);
 
     [[nodiscard]] std::size_t count_waiting(std::string_view queue) const;
--- a/libraries/node/job_sweeper.cpp
+++ b/libraries/node/job_sweeper.cpp
@@ -1,4 +1,5 @@
-// Removal in two steps: the submissions first, and their progress once no process holds the submission any more.
+// Removal in two steps: the submissions first, and their progress once no process holds the submission any more. Early
+// cancellations, whose jobs have neither, are removed when there is no submission to remove.
 
 #include "node/job_sweeper.h"
 
@@ -29,7 +30,9 @@
     if (this->is_removing || now - this->last_sweep < sweep_interval)
         return;
     this->last_sweep = now;
-    const auto removals = this->state.jobs().list_expired_submissions(this->retention, removal_batch_size, now);
+    auto removals = this->state.jobs().list_expired_submissions(this->retention, removal_batch_size, now);
+    if (removals.empty())
+        removals = this->state.jobs().list_expired_cancellations(this->retention, removal_batch_size, now);
     if (removals.empty())
         return;
     this->is_removing = true;
--- a/services/node/main.cpp
+++ b/services/node/main.cpp
@@ -124,6 +124,7 @@
     options.leading.job_retention = std::max<milliseconds>(settings.job_state_retention * job_retention_factor,
                                                            std::chrono::seconds(FLAGS_job_retention_s));
     options.service_limits.max_policy_age = settings.revocation_limit - revocation_margin;
+    options.service_limits.early_cancellation_retention = options.leading.job_retention;
     const milliseconds jitter(static_cast<std::int64_t>(options.leading.identity.incarnation %
                                                         static_cast<std::uint64_t>(claim_jitter.count())));
     const bool is_weak_host = settings.cpu_share < strong_host_cpu_share;
--- a/tests/jobs/job_table_test.cpp
+++ b/tests/jobs/job_table_test.cpp
@@ -54,6 +54,74 @@
     BOOST_TEST(table.find("a")->is_final());
 }
 
+BOOST_AUTO_TEST_SUITE(a_cancellation_that_comes_before_the_submission)
+
+keyed_record make_submission_of(const std::string& job, const std::string& account)
+{
+    records::Submission submission;
+    submission.set_queue("q");
+    submission.set_account(account);
+    submission.add_steps()->set_count(1);
+    return {job, submission.SerializeAsString()};
+}
+
+keyed_record make_early_cancellation(const std::string& job, const std::string& account)
+{
+    records::EarlyCancellation cancellation;
+    cancellation.add_accounts(account);
+    return {make_cancel_key(job), cancellation.SerializeAsString()};
+}
+
+// Guards against a job that runs after its cancellation was acknowledged (review case 12).
+BOOST_AUTO_TEST_CASE(cancels_it_in_either_order_of_the_two_records)
+{
+    job_table table;
+    table.apply_submission_record(make_early_cancellation("a", "one"), now);
+    BOOST_TEST(table.find("a") == nullptr);
+    table.apply_submission_record(make_submission_of("a", "one"), now);
+    BOOST_TEST(table.find("a")->is_cancel_requested);
+    BOOST_TEST(table.count_waiting("q") == 0U);
+    table.apply_submission_record(make_submission_of("b", "one"), now);
+    table.apply_submission_record(make_early_cancellation("b", "one"), now);
+    BOOST_TEST(table.find("b")->is_cancel_requested);
+    BOOST_TEST(table.count_early_cancellations("one") == 0U);
+}
+
+// Guards against one account that cancels what another will submit.
+BOOST_AUTO_TEST_CASE(of_another_account_does_nothing)
+{
+    job_table table;
+    table.apply_submission_record(make_early_cancellation("a", "one"), now);
+    table.apply_submission_record(make_submission_of("a", "two"), now);
+    BOOST_TEST(!table.find("a")->is_cancel_requested);
+    table.apply_submission_record(make_submission_of("b", "two"), now);
+    table.apply_submission_record(make_early_cancellation("b", "one"), now);
+    BOOST_TEST(!table.find("b")->is_cancel_requested);
+    BOOST_TEST(table.count_early_cancellations("one") == 2U);
+}
+
+// Guards against a store and nodes that fill up with the cancellations of jobs that never come.
+BOOST_AUTO_TEST_CASE(is_removed_after_the_retention)
+{
+    constexpr milliseconds retention{240'000};
+    job_table table;
+    table.apply_submission_record(make_early_cancellation("a", "one"), now);
+    table.apply_submission_record(make_early_cancellation("b", "one"), now);
+    table.apply_submission_record(make_early_cancellation("b", "one"), now + milliseconds(1)); // Again, later.
+    BOOST_TEST(table.list_expired_cancellations(retention, 10, now + retention).empty());
+    const auto removals = table.list_expired_cancellations(retention, 10, now + retention + milliseconds(1));
+    BOOST_REQUIRE(removals.size() == 1U);
+    BOOST_TEST(removals[0].key == make_cancel_key("a"));
+    BOOST_TEST(!removals[0].value.has_value());
+    table.apply_submission_record(removals[0], now);
+    BOOST_TEST(table.find_early_cancellation("a") == nullptr);
+    BOOST_TEST(table.find_early_cancellation("b") != nullptr);
+    table.drop_removed_submissions({}, now + milliseconds(60'002));
+    BOOST_TEST(table.find_early_cancellation("b") == nullptr);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(jobs_that_ended_long_ago)
 
 struct ended_job {
--- a/tests/models/scripted_store.cpp
+++ b/tests/models/scripted_store.cpp
@@ -2,6 +2,8 @@
 
 #include "models/scripted_store.h"
 
+#include <utility>
+
 #include <boost/asio/post.hpp>
 
 namespace wigeon {
@@ -25,6 +27,11 @@
         break;
     case store_fault::unreachable:
         break;
+    case store_fault::late:
+        this->late_appends.push_back([this, topic = std::string(topic),
+                                      copies = std::vector(records.begin(), records.end()),
+                                      condition] { this->model.append(topic, copies, condition); });
+        break;
     }
     boost::asio::post(this->loop, [this, result, topic = std::string(topic), done = std::move(done)] {
         if (const auto hook = this->before_append_answer)
@@ -33,6 +40,12 @@
     });
 }
 
+void scripted_store::carry_out_late_appends()
+{
+    for (const auto& append : std::exchange(this->late_appends, {}))
+        append();
+}
+
 void scripted_store::append_unkeyed(std::string_view topic, std::string_view record, const append_condition& condition,
                                     std::function<void(append_result)> done)
 {
--- a/tests/models/scripted_store.h
+++ b/tests/models/scripted_store.h
@@ -4,6 +4,7 @@
 
 #include <functional>
 #include <string>
+#include <vector>
 
 #include <boost/asio/io_context.hpp>
 
@@ -17,6 +18,7 @@
     refusing,    // Reports that certainly nothing was done.
     answer_lost, // Carries out the append, but reports an unknown outcome.
     unreachable, // Does nothing and reports an unknown outcome or a failed read.
+    late,        // Reports an unknown outcome; the append is carried out when the test says so.
 };
 
 class scripted_store : public record_store {
@@ -33,6 +35,9 @@
     std::function<void(std::string_view topic)> before_append_answer;
     std::size_t page_size = 2; // Small, so that tests read several pages.
 
+    // Carries out the appends that were late, in the order in which they were sent, if their condition still holds.
+    void carry_out_late_appends();
+
     [[nodiscard]] append_limits limits() const override { return this->model.limits; }
     void append(std::string_view topic, std::span<const keyed_record> records, const append_condition& condition,
                 std::function<void(append_result)> done) override;
@@ -46,6 +51,7 @@
 
 private:
     boost::asio::io_context& loop;
+    std::vector<std::function<void()>> late_appends;
 };
 
 } // namespace wigeon
