sweeper: a removal that takes effect late spares what was written since

What callers could see: a job that runs after its cancellation was answered. The sweeper removed the records of a job that ended long ago with an append without a condition; when the store answers nothing and carries it out seconds later, it removes a record of the same key that was written meanwhile, also after another leader has taken over.

Now the removal holds only while nothing was written to the topic since the leader has read it (the expected end of the append).

--- a/libraries/node/job_sweeper.cpp
+++ b/libraries/node/job_sweeper.cpp
@@ -36,7 +36,11 @@
     if (removals.empty())
         return;
     this->is_removing = true;
-    this->store.append(jobs_topic, removals, {},
+    // The removals are right for the records that were read. An append that takes effect late must not remove a record
+    // that was written since.
+    append_condition condition;
+    condition.expected_end = this->state.jobs_position();
+    this->store.append(jobs_topic, removals, condition,
                        [self = this->shared_from_this(), count = removals.size()](const append_result& result) {
                            self->is_removing = false;
                            if (result.status != append_status::done) {
--- a/libraries/node/job_sweeper.h
+++ b/libraries/node/job_sweeper.h
@@ -10,7 +10,8 @@
 
 namespace wigeon {
 
-// Runs on the leader. A former leader that goes on for a while does no harm: it removes only jobs that it saw ended.
+// Runs on the leader. A former leader that goes on for a while does no harm: it removes only jobs that it saw ended,
+// and only while nothing was written to their topic since it has read it.
 class job_sweeper : public std::enable_shared_from_this<job_sweeper> {
 public:
     // Callers can read an ended job for `retention`.
--- a/libraries/node/node_state.h
+++ b/libraries/node/node_state.h
@@ -68,6 +68,9 @@
         return this->followed_reader().current_as_of();
     }
 
+    // Offset after the last record of the jobs topic that was applied here.
+    [[nodiscard]] std::uint64_t jobs_position() const { return this->jobs_reader->position(); }
+
     // Calls `done` with true when everything that is in the store at the time of the call has been applied here, or
     // with false when that failed.
     void refresh_jobs(std::function<void(bool)> done) { this->jobs_reader->refresh(std::move(done)); }
