election: a topic without claims allows a claim at once only if there was never one

What callers could see: two leaders at once, and urgent jobs late behind a needless change of the leader. The store drops claims after its retention time; a node that started then found no claim and claimed at once, without the silence that the leader's own check relies on (see "orders are sent only while no follower can have claimed the term").

Now a claim at once needs a topic whose end is 0, or a last claim of this node; otherwise the node waits for the silence.

Test: claims_of_the_term/that_have_all_expired_do_not_allow_another_at_once, red before ("terms.empty() has failed"), green now.

--- a/libraries/node/leader_election.cpp
+++ b/libraries/node/leader_election.cpp
@@ -68,9 +68,7 @@
 
 void leader_election::check()
 {
-    const bool may_claim_at_once =
-        this->has_read_claims && (!this->last_claim || this->last_claim->node() == this->identity.node);
-    const bool is_claim_due = this->state.is_loaded() && (may_claim_at_once || this->is_leader_lost());
+    const bool is_claim_due = this->state.is_loaded() && (this->may_claim_at_once() || this->is_leader_lost());
     if (is_claim_due || !this->has_read_claims || this->is_attempt_unresolved)
         this->read_claims();
     else
@@ -83,6 +81,15 @@
     return is_takeover_due(this->state.observed_leader(), newest_claimed_term, this->timeouts, boot_clock::now());
 }
 
+// Whether no other node can lead: there was no claim yet, or this node made the last one. A topic whose claims have all
+// expired says nothing of who leads.
+bool leader_election::may_claim_at_once() const
+{
+    if (!this->has_read_claims)
+        return false;
+    return this->last_claim ? this->last_claim->node() == this->identity.node : this->claims_end == 0;
+}
+
 void leader_election::read_claims()
 {
     this->store.read_unkeyed(term_topic, this->claims_end,
@@ -131,8 +138,7 @@
         this->schedule_check();
         return;
     }
-    const bool may_claim_at_once = !this->last_claim || this->last_claim->node() == this->identity.node;
-    if (this->state.is_loaded() && (may_claim_at_once || this->is_leader_lost()))
+    if (this->state.is_loaded() && (this->may_claim_at_once() || this->is_leader_lost()))
         this->append_claim();
     else
         this->schedule_check();
--- a/libraries/node/leader_election.h
+++ b/libraries/node/leader_election.h
@@ -1,5 +1,5 @@
 // Claims the term for this node when the leader has timed out or resigned, when this node made the last claim and no
-// longer leads, or when there is no claim yet.
+// longer leads, or when there was never a claim.
 
 #pragma once
 
@@ -41,6 +41,7 @@
 
     void schedule_check();
     void check();
+    [[nodiscard]] bool may_claim_at_once() const;
     [[nodiscard]] bool is_leader_lost() const;
     void read_claims();
     void handle_claims(const read_result& result);
--- a/tests/node/caller_service_test.cpp
+++ b/tests/node/caller_service_test.cpp
@@ -317,6 +317,25 @@
         node->stop();
 }
 
+// Guards against a second leader beside a sound one: the store drops old claims, so a node that starts later finds an
+// empty topic.
+BOOST_FIXTURE_TEST_CASE(that_have_all_expired_do_not_allow_another_at_once, caller_fixture)
+{
+    const std::vector<keyed_record> claim{{"", std::string()}};
+    this->store.model.append(std::string(term_topic), claim, {});
+    this->store.model.trim_history(std::string(term_topic));
+    std::vector<std::uint64_t> terms;
+    const auto node = std::make_shared<leader_election>(this->loop, this->store, this->state,
+                                                        election_timeouts{milliseconds(1'000), milliseconds(30)},
+                                                        leader_identity{"node", 1});
+    node->start([&terms](std::uint64_t term) { terms.push_back(term); });
+    this->loop.run_for(milliseconds(700));
+    BOOST_TEST(terms.empty());
+    this->loop.run_for(milliseconds(1'500)); // The leader is silent.
+    BOOST_TEST(terms == std::vector<std::uint64_t>{1}, boost::test_tools::per_element());
+    node->stop();
+}
+
 BOOST_FIXTURE_TEST_CASE(whose_answer_was_lost_are_found_in_the_topic, caller_fixture)
 {
     std::vector<std::uint64_t> terms;
