run tracker: a restarted executor is told again which runs its former incarnation refuses

What callers could see: a task that runs twice. A start without an answer "may also be executed seconds later". The leader stops such a run, and the executor then refuses it for good; but an incarnation that starts after that knows nothing of it, and if the start reaches it on the way, it begins the run while the next one works elsewhere.

Now the tracker remembers the runs that were resolved while their start could still be carried out, for 15 s, and stops them on the next incarnation of their executor as soon as that is known. Not covered: the time until then, and runs that a former leader resolved. Bounded: 20,000 such runs; a stop on the new incarnation is one call for each.

Test: run_tracker_story/an_executor_that_restarted/is_told_again_which_runs_its_former_incarnation_refuses, red without the new stops ("stops.size() == 1U has failed"), green now.

--- a/libraries/dispatch/run_tracker.cpp
+++ b/libraries/dispatch/run_tracker.cpp
@@ -19,6 +19,12 @@
 // Time for the last state change of an executor to appear in a poll.
 constexpr milliseconds stop_confirmation_margin{50};
 
+// An executor may carry out a start that it has not answered up to 12 s later.
+constexpr milliseconds max_late_execution{15'000};
+
+// Far more starts than executors leave without an answer in that time.
+constexpr std::size_t max_refused_runs = 20'000;
+
 bool is_active(const job_run& job)
 {
     return !is_final(job.phase);
@@ -219,11 +225,13 @@
 {
     if (task.phase == task_phase::resolved)
         return;
+    const auto task_row = static_cast<std::uint32_t>(&task - unit.placed_tasks.data());
+    if (task.phase == task_phase::uncertain && !task.is_reported)
+        this->note_refused_run(job, unit, task_row, now);
     task.phase = task_phase::resolved;
     --job.unresolved_tasks;
     if (executor* target = this->registry.find(task.executor))
         target->used -= find_task_resources(job.step_of(unit));
-    const auto task_row = static_cast<std::uint32_t>(&task - unit.placed_tasks.data());
     this->index.remove({job.id, unit.row, task_row, unit.run}, task.executor);
     const bool is_settled = std::all_of(unit.placed_tasks.begin(), unit.placed_tasks.end(),
                                         [](const placed_task& other) { return other.phase == task_phase::resolved; });
@@ -235,6 +243,24 @@
         this->stop_unit(job, unit, now);
 }
 
+void run_tracker::note_refused_run(const job_run& job, const work_unit& unit, std::uint32_t task_row, boot_time now)
+{
+    while (!this->refused_runs.empty() && (now - this->refused_runs.front().refused_at > max_late_execution ||
+                                           this->refused_runs.size() >= max_refused_runs))
+        this->refused_runs.pop_front();
+    stop_order stop{{}, unit.placed_tasks[task_row].executor, job.format_task_name(unit, task_row)};
+    stop.reference.run = unit.run;
+    this->refused_runs.push_back({std::move(stop), now});
+}
+
+void run_tracker::stop_refused_runs(std::string_view executor_id, boot_time now)
+{
+    for (const refused_run& refused : this->refused_runs) {
+        if (refused.stop.executor == executor_id && now - refused.refused_at <= max_late_execution)
+            this->orphan_stops.push_back(refused.stop);
+    }
+}
+
 void run_tracker::settle(job_run& job, work_unit& unit, boot_time now)
 {
     unit.placed_tasks.clear();
@@ -402,6 +428,7 @@
 void run_tracker::resolve_previous_incarnations(std::string_view executor_id, std::uint64_t new_incarnation_ms,
                                                 boot_time now)
 {
+    this->stop_refused_runs(executor_id, now);
     for (const task_reference& reference : this->copy_tasks_on(executor_id)) {
         job_run* job = nullptr;
         work_unit* unit = nullptr;
--- a/libraries/dispatch/run_tracker.h
+++ b/libraries/dispatch/run_tracker.h
@@ -8,6 +8,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <limits>
 #include <map>
 #include <span>
@@ -51,7 +52,8 @@
     void apply_poll_report(executor& source, const poll_report& report, boot_time sent_at, boot_time now);
 
     // Called when the incarnations of an executor before `new_incarnation_ms` have certainly ended. Resolves the tasks
-    // that they were reported to run. The start of any other task may still reach the new incarnation.
+    // that they were reported to run. The start of any other task may still reach the new incarnation. Stops there the
+    // runs that a former one has refused for good, since the new one doesn't know that.
     void resolve_previous_incarnations(std::string_view executor_id, std::uint64_t new_incarnation_ms, boot_time now);
     void resolve_expired(boot_time now);
 
@@ -99,7 +101,18 @@
     milliseconds max_stop_time; // Longest time that an executor takes for a stop.
     std::map<std::string, job_run, std::less<>> jobs_by_id;
     task_index index;
+    // A run that was resolved although its start may still be carried out: the executor's current incarnation refuses
+    // it, a later one would begin it.
+    struct refused_run {
+        stop_order stop;
+        boot_time refused_at;
+    };
+
+    void note_refused_run(const job_run& job, const work_unit& unit, std::uint32_t task_row, boot_time now);
+    void stop_refused_runs(std::string_view executor_id, boot_time now);
+
     std::vector<stop_order> orphan_stops; // For tasks that run without being known here.
+    std::deque<refused_run> refused_runs; // Oldest first; none older than max_late_execution.
 };
 
 } // namespace wigeon
--- a/tests/dispatch/run_tracker_test.cpp
+++ b/tests/dispatch/run_tracker_test.cpp
@@ -310,6 +310,28 @@
     BOOST_TEST(this->tracker.collect_stops(this->now).size() == 1U);
 }
 
+// Guards against a task that runs twice: a start without an answer that is carried out seconds later, by an incarnation
+// that doesn't know that its run was stopped, while the next run works elsewhere.
+BOOST_FIXTURE_TEST_CASE(is_told_again_which_runs_its_former_incarnation_refuses, tracker_fixture)
+{
+    job_run& job = this->add_job(1, false);
+    this->place(job, 0, {"e1"});
+    this->tracker.handle_start_answer(make_reference(0, 0, 1), start_answer::unknown, this->now);
+    BOOST_REQUIRE(this->tracker.collect_stops(this->now).size() == 1U);
+    this->tracker.handle_stop_answer(make_reference(0, 0, 1), true, this->now);
+    this->now += max_stop_time + milliseconds(60);
+    this->poll("e1", {}, {});
+    this->place(job, 0, {"e2"});
+    this->tracker.resolve_previous_incarnations("e1", 8, this->now);
+    const auto stops = this->tracker.collect_stops(this->now);
+    BOOST_REQUIRE(stops.size() == 1U);
+    BOOST_TEST(stops[0].executor == "e1");
+    BOOST_TEST(stops[0].task == "job.0.0.0");
+    BOOST_TEST(stops[0].reference.run == 1U);
+    this->tracker.resolve_previous_incarnations("e1", 9, this->now + milliseconds(20'000));
+    BOOST_TEST(this->tracker.collect_stops(this->now).empty()); // Too late for that start.
+}
+
 // The leases of a restarted executor count from when the restart became known, not from the start of the leader's term.
 BOOST_FIXTURE_TEST_CASE(keeps_what_it_may_run_while_it_is_out_of_reach, tracker_fixture)
 {
