Logs: the life of a start, and no start for an incarnation that has been replaced meanwhile

start_failed says for which incarnation and under which token a start was decided, how long before it was sent, and how long until its answer; start_not_sent says why a decided start was dropped, and start_was_slow shows one that was accepted over a second after its decision.

A start whose executor is known to have started again since the decision is dropped at once; the client would have found it out with a call.

--- a/libraries/dispatch/job_run.cpp
+++ b/libraries/dispatch/job_run.cpp
@@ -401,7 +401,8 @@
                           this->format_task_name(unit, row),
                           this->submission.payload(),
                           unit.checkpoint,
-                          task.ticket});
+                          task.ticket,
+                          unit.placed_at});
     }
 }
 
--- a/libraries/dispatch/orders.h
+++ b/libraries/dispatch/orders.h
@@ -6,6 +6,8 @@
 #include <string>
 #include <tuple>
 
+#include "base/time.h"
+
 namespace wigeon {
 
 // Identifies one task of one run.
@@ -26,11 +28,12 @@
 struct start_order {
     task_reference reference;
     std::string executor;
-    std::uint64_t incarnation_ms = 0;
+    std::uint64_t incarnation_ms = 0; // Of the executor that was chosen.
     std::string task;
     std::string payload;
     std::string checkpoint; // Empty: the task starts from the beginning.
     std::string ticket;     // From the queue's advisor; empty if it has none.
+    boot_time decided_at;
 };
 
 struct stop_order {
--- a/libraries/node/executor_sessions.cpp
+++ b/libraries/node/executor_sessions.cpp
@@ -36,6 +36,9 @@
 // Added to the longest time of a stop: the margin that run_tracker requires, and a little for timers.
 constexpr milliseconds stop_check_margin{60};
 
+// Time from the decision to the answer of the executor after which a start that was accepted is logged.
+constexpr milliseconds min_reported_start_time{1'000};
+
 // A new leader starts to place tasks when this share of the listed executors has answered a poll.
 constexpr std::size_t min_reached_percent = 90;
 
@@ -255,7 +258,10 @@
     if (!this->is_active)
         return;
     executor* known_executor = this->job_dispatcher.executors().find(order.executor);
-    if (known_executor == nullptr || !known_executor->is_reached || !this->event_listener.may_send_orders(now)) {
+    const bool is_reached = known_executor != nullptr && known_executor->is_reached &&
+                            known_executor->entry.incarnation_ms == order.incarnation_ms;
+    if (!is_reached || !this->event_listener.may_send_orders(now)) {
+        this->log_start("start_not_sent", order, is_reached ? "unconfirmed_term" : "executor_gone", now, now);
         this->job_dispatcher.handle_start_answer(order, start_answer::refused, now);
         return;
     }
@@ -268,15 +274,32 @@
                               const boot_time answered_at = boot_clock::now();
                               process_metrics().observe_ms("wigeon_start_ms",
                                                            static_cast<double>((answered_at - sent_at).count()));
-                              self->handle_start_result(order, result, answered_at);
+                              self->handle_start_result(order, result, sent_at, answered_at);
                           });
 }
 
-void executor_sessions::handle_start_result(const start_order& order, const order_result& result, boot_time now)
+void executor_sessions::log_start(std::string_view event, const start_order& order, std::string_view reason,
+                                  boot_time sent_at, boot_time now) const
+{
+    log_event(event, {{"job", order.reference.job},
+                      {"task", order.task},
+                      {"run", std::to_string(order.reference.run)},
+                      {"executor", order.executor},
+                      {"incarnation", std::to_string(order.incarnation_ms)},
+                      {"token", std::to_string(this->fencing_token)},
+                      {"decided_ms_before", std::to_string((sent_at - order.decided_at).count())},
+                      {"answered_after_ms", std::to_string((now - sent_at).count())},
+                      {"reason", std::string(reason)}});
+}
+
+void executor_sessions::handle_start_result(const start_order& order, const order_result& result, boot_time sent_at,
+                                            boot_time now)
 {
     start_answer answer = start_answer::refused;
     switch (result.outcome) {
     case request_outcome::accepted:
+        if (now - order.decided_at > min_reported_start_time)
+            this->log_start("start_was_slow", order, "", sent_at, now);
         this->job_dispatcher.handle_start_answer(order, start_answer::accepted, now);
         return;
     case request_outcome::fenced:
@@ -300,11 +323,7 @@
         break;
     }
     count_retry("start_" + result.reason);
-    log_event("start_failed", {{"job", order.reference.job},
-                               {"task", order.task},
-                               {"run", std::to_string(order.reference.run)},
-                               {"executor", order.executor},
-                               {"reason", result.reason}});
+    this->log_start("start_failed", order, result.reason, sent_at, now);
     this->job_dispatcher.handle_start_answer(order, answer, now);
     this->event_listener.handle_change();
 }
--- a/libraries/node/executor_sessions.h
+++ b/libraries/node/executor_sessions.h
@@ -74,7 +74,9 @@
 
     class directory_consumer;
 
-    void handle_start_result(const start_order& order, const order_result& result, boot_time now);
+    void handle_start_result(const start_order& order, const order_result& result, boot_time sent_at, boot_time now);
+    void log_start(std::string_view event, const start_order& order, std::string_view reason, boot_time sent_at,
+                   boot_time now) const;
     void schedule_stop_check(const stop_order& order);
     void renew_leases_of(const std::string& id, boot_time now);
     void handle_renewal_result(const std::string& id, boot_time sent_at, poll_result result);
