Stand-in, soak: late appends, late orders and connections that end with an executor

Now a share of the appends gets no answer and is carried out 1 to 6 s later if its condition holds then, a share of the orders 2 to 12 s later unless the executor has been restarted, and a restart closes the connections. node_failover_story turns both on and off, and submits jobs that are due later and cancels them at another node: none may start.

--- a/tests/integration/node_failover_test.cpp
+++ b/tests/integration/node_failover_test.cpp
@@ -1,6 +1,7 @@
 // Leaders of wigeon-node that are replaced again and again above a large fleet, as in a rolling restart or in a series
 // of crashes: killed, told to stop, paused, or cut off from the store together with some executors. Meanwhile callers
-// submit jobs whose tasks outlast several leaders and cancel some of them, and executors restart.
+// submit jobs whose tasks outlast several leaders and cancel some of them, and executors restart. For a while now and
+// then, some appends and orders get no answer and are carried out seconds later.
 //
 // WIGEON_FAILOVER_SEEDS lists the seeds ("1,2,3"), WIGEON_FAILOVER_SECONDS is the time for which faults are injected
 // with each seed, WIGEON_FAILOVER_NODES and WIGEON_FAILOVER_EXECUTORS are the size of the system; with
@@ -35,6 +36,7 @@
 public:
     failover_run(std::uint64_t seed, int nodes, int executors, bool cuts_leaders_off)
         : random(seed),
+          late_random(seed),
           has_partitions(cuts_leaders_off),
           node_count(nodes),
           executor_count(executors),
@@ -51,12 +53,16 @@
             this->end_faults(now);
             if (now >= this->next_fault_at)
                 this->inject_fault(now);
+            this->toggle_late_effects();
             this->submit_job();
+            this->cancel_job_that_is_not_due();
             if (this->draw(4) == 0)
                 this->cancel_job();
             std::this_thread::sleep_for(step_time);
         }
         this->end_faults(boot_time::max());
+        this->system.set_store_fault("none");
+        this->system.set_late_orders(0);
     }
 
     void check()
@@ -64,7 +70,11 @@
         for (const std::string& job : this->accepted)
             BOOST_TEST(this->system.wait_for_state(job, "batch", "completed", recovery_timeout),
                        "job " << job << " was accepted but did not complete");
+        std::this_thread::sleep_until(this->last_due + step_time);
         const node_cluster::fleet_report report = this->system.read_report();
+        for (const std::string& job : this->cancelled_in_time)
+            BOOST_TEST(report.started_jobs.find(job) == std::string::npos,
+                       "job " << job << " ran after its cancellation");
         BOOST_TEST(report.violations == 0U, report.violations << " violations, first: " << report.first_violation);
         BOOST_TEST_MESSAGE(this->accepted.size()
                            << " jobs, " << report.starts << " starts, " << report.done << " tasks done");
@@ -78,6 +88,51 @@
 
     int draw_index(int count) { return static_cast<int>(this->draw(static_cast<std::uint32_t>(count))); }
 
+    // Drawn apart from the faults, so that the seeds play the same ones as before.
+    std::uint32_t draw_late(std::uint32_t limit)
+    {
+        return std::uniform_int_distribution<std::uint32_t>(0, limit - 1)(this->late_random);
+    }
+
+    void toggle_late_effects()
+    {
+        constexpr std::uint32_t toggle_one_in = 12;
+        constexpr int late_percent = 30;
+        if (this->draw_late(toggle_one_in) == 0) {
+            this->has_late_appends = !this->has_late_appends;
+            this->report_fault("percentage of late appends", this->has_late_appends ? late_percent : 0);
+            this->system.set_store_fault(this->has_late_appends ? "late:" + std::to_string(late_percent) : "none");
+        }
+        if (this->draw_late(toggle_one_in) == 0) {
+            this->has_late_orders = !this->has_late_orders;
+            this->report_fault("percentage of late orders", this->has_late_orders ? late_percent : 0);
+            this->system.set_late_orders(this->has_late_orders ? late_percent : 0);
+        }
+    }
+
+    // Submits a job that is due later and cancels it at another node, whatever the answer to the submission was. Once
+    // the cancellation is acknowledged, the job must not start.
+    void cancel_job_that_is_not_due()
+    {
+        constexpr std::uint32_t cancel_one_in = 6;
+        constexpr milliseconds due_after{10'000};
+        constexpr milliseconds cancellation_limit{3'000};
+        if (this->draw_late(cancel_one_in) != 0)
+            return;
+        const std::string digits = std::to_string(++this->last_cancelled_job);
+        const std::string job = "c" + std::string(15 - digits.size(), '0') + digits;
+        const int node = static_cast<int>(this->draw_late(static_cast<std::uint32_t>(this->node_count)));
+        if (node == this->paused_node)
+            return;
+        const auto due = boot_clock::now() + due_after;
+        this->system.submit_for_later(node, job, "batch", R"({"count":1,"cpu":1000,"mem-mb":100,"estimate-ms":500})",
+                                      due_after);
+        const bool is_acknowledged = this->system.cancel_until_acknowledged(node + 1, job, "batch");
+        if (is_acknowledged && boot_clock::now() + cancellation_limit < due)
+            this->cancelled_in_time.push_back(job);
+        this->last_due = std::max(this->last_due, due);
+    }
+
     void inject_fault(boot_time now)
     {
         this->next_fault_at = now + milliseconds(500 + this->draw(4'000));
@@ -177,6 +232,7 @@
     }
 
     std::mt19937_64 random;
+    std::mt19937_64 late_random;
     const bool has_partitions;
     const int node_count;
     const int executor_count;
@@ -189,6 +245,11 @@
     boot_time next_fault_at;
     std::vector<std::string> accepted;
     int last_job = 0;
+    bool has_late_appends = false;
+    bool has_late_orders = false;
+    std::vector<std::string> cancelled_in_time;
+    int last_cancelled_job = 0;
+    boot_time last_due;
 };
 
 } // namespace
--- a/tests/integration/node_test.cpp
+++ b/tests/integration/node_test.cpp
@@ -116,6 +116,26 @@
     BOOST_TEST(system.submit(0, make_job_id(3), "batch", R"({"count":0})") == 400);
 }
 
+// Guards against a job that runs after its cancellation was answered, since the store carries out its submission later
+// (review case 12).
+BOOST_AUTO_TEST_CASE(a_job_that_was_cancelled_before_the_store_has_it_never_runs)
+{
+    constexpr milliseconds due_after{9'000};
+    constexpr milliseconds max_late_append{6'000};
+    node_cluster system({.nodes = 2, .executors = 2});
+    system.set_store_fault("late:100");
+    BOOST_TEST(system.submit_for_later(0, make_job_id(1), "batch", long_task, due_after) == 504);
+    system.set_store_fault("none");
+    const auto due = boot_clock::now() + due_after;
+    BOOST_TEST(system.cancel_until_acknowledged(1, make_job_id(1), "batch"));
+    BOOST_TEST(system.wait_for_state(make_job_id(1), "batch", "cancelled", max_late_append + visibility_limit));
+    std::this_thread::sleep_until(due + visibility_limit);
+    BOOST_TEST(system.read_report().starts == 0U);
+    for (int node = 0; node < 2; ++node)
+        BOOST_TEST(system.read_state(node, make_job_id(1), "batch") == "cancelled");
+    check_no_violations(system);
+}
+
 BOOST_AUTO_TEST_SUITE(a_queue_whose_advisor_chooses_the_executors)
 
 BOOST_AUTO_TEST_CASE(has_its_tasks_run_with_tickets_only)
--- a/tests/stand_ins/node_platform.cpp
+++ b/tests/stand_ins/node_platform.cpp
@@ -4,17 +4,20 @@
 // Usage: stand-in-node-platform STORE_PORT FIRST_EXECUTOR_PORT EXECUTORS FIRST_LISTED_PORT
 // The executors' directory entries name the listed ports, on which a proxy may listen. The clock of every second
 // executor is 2% slow. On the store's port, POST /fault?kind=K sets a fault of the store: none, refuse, mute (no
-// responses) or lost (carries out the append, no response); POST /restart?executor=ID restarts an executor, which loses
-// all its state; POST /split?count=N cuts executors, busy ones first, off from the store and from all nodes but the one
-// that leads, which is cut off from all others, until POST /join; POST /configure?without=ROUTE publishes a
-// configuration that lacks the route (without the field: with all routes); POST /evacuate?zone=Z evacuates z0 (the
-// executors of even number) or z1 until POST /return?zone=Z; GET /report returns what the executors
-// recorded: violations, starts, done tasks, started jobs.
+// responses), lost (carries out the append, no response) or late:P (P percent of the appends get no response and are
+// carried out 1 to 6 s later, if their condition holds then); POST /late-orders?percent=P lets executors leave P
+// percent of the orders unanswered and carry them out 2 to 12 s later, unless the executor has been restarted; POST
+// /restart?executor=ID restarts an executor, which loses its connections and all its state; POST /split?count=N cuts
+// executors, busy ones first, off from the store and from all nodes but the one that leads, which is cut off from all
+// others, until POST /join; POST /configure?without=ROUTE publishes a configuration that lacks the route (without the
+// field: with all routes); POST /evacuate?zone=Z evacuates z0 (the executors of even number) or z1 until POST
+// /return?zone=Z; GET /report returns what the executors recorded: violations, starts, done tasks, started jobs.
 
 #include <csignal>
 #include <cstdlib>
 #include <iostream>
 #include <memory>
+#include <random>
 #include <set>
 
 #include <boost/asio/signal_set.hpp>
@@ -39,6 +42,11 @@
 constexpr listener_limits limits{16'384, 4'000'000, 500, milliseconds(60'000)};
 constexpr std::size_t max_page_records = 500;
 constexpr milliseconds retry_interval{20};
+constexpr milliseconds min_append_delay{1'000};
+constexpr milliseconds max_append_delay{6'000};
+constexpr milliseconds min_order_delay{2'000};
+constexpr milliseconds max_order_delay{12'000};
+constexpr std::size_t late_prefix_length = 5; // Of "late:".
 constexpr std::size_t length_prefix_bytes = 4;
 constexpr int foreign_entries = 10;
 constexpr milliseconds heartbeat_interval{1'500};
@@ -108,11 +116,7 @@
             entry.capacity = {64'000, 131'072, 8};
             entry.address = "127.0.0.1:" + std::to_string(first_listed_port + row);
             this->fleet.add_executor(entry, boot_clock::now(), row % 2 == 0 ? exact_clock_rate : slow_clock_rate);
-            this->executor_listeners.push_back(std::make_unique<http_listener>(
-                event_loop, limits, [this, id = entry.id](const incoming_request& request, const reply_handler& reply) {
-                    this->serve_executor(id, request, reply);
-                }));
-            this->executor_listeners.back()->start("127.0.0.1:" + std::to_string(first_port + row));
+            this->listen(entry.id, first_port + row);
         }
         this->publish_policy();
         this->publish_foreign_entries(store_port);
@@ -135,6 +139,31 @@
                this->active_partition->members.contains(executor) != (token == this->active_partition->token);
     }
 
+    void listen(const std::string& id, int port)
+    {
+        executor_listener& opened = this->executor_listeners[id];
+        opened.port = port;
+        opened.listener = std::make_unique<http_listener>(
+            this->loop, limits, [this, id](const incoming_request& request, const reply_handler& reply) {
+                this->receive_executor_call(id, request, reply);
+            });
+        opened.listener->start("127.0.0.1:" + std::to_string(port));
+    }
+
+    void restart_executor(const std::string& id)
+    {
+        this->fleet.restart(id, boot_clock::now());
+        this->executor_listeners[id].listener->stop();
+        this->listen(id, this->executor_listeners[id].port);
+    }
+
+    bool draw(unsigned percent) { return this->random() % 100 < percent; }
+
+    milliseconds draw_delay(milliseconds least, milliseconds most)
+    {
+        return least + milliseconds(this->random() % static_cast<unsigned>((most - least).count()));
+    }
+
     // Takes `count` executors, busy ones first, out of reach of all but the present leader.
     void split_network(std::size_t count)
     {
@@ -261,7 +290,11 @@
         else if (path == "/advise")
             this->serve_advice(request, reply);
         else if (path == "/restart") {
-            this->fleet.restart(query.at("executor"), boot_clock::now());
+            this->restart_executor(query.at("executor"));
+            reply({200, "{}", 0});
+        }
+        else if (path == "/late-orders") {
+            this->late_order_percent = static_cast<unsigned>(std::stoul(query.at("percent")));
             reply({200, "{}", 0});
         }
         else if (path == "/split") {
@@ -315,7 +348,12 @@
                           const incoming_request& request, const reply_handler& reply)
     {
         const std::string& topic = query.at("topic");
-        if (path == "/log-append") {
+        const bool is_late = path == "/log-append" && this->fault.starts_with("late:") &&
+                             this->draw(static_cast<unsigned>(std::stoul(this->fault.substr(late_prefix_length))));
+        if (is_late)
+            this->schedule(this->draw_delay(min_append_delay, max_append_delay),
+                           [this, topic, query, body = request.body] { this->append(topic, query, body); });
+        else if (path == "/log-append") {
             const append_result result = this->append(topic, query, request.body);
             if (this->fault != "lost")
                 reply(encode_append_result(result));
@@ -417,15 +455,31 @@
         reply({200, std::move(body), 0});
     }
 
-    void schedule_retry(std::function<void()> action)
+    void schedule_retry(std::function<void()> action) { this->schedule(retry_interval, std::move(action)); }
+
+    void schedule(milliseconds delay, std::function<void()> action)
     {
-        const auto timer = std::make_shared<boost::asio::steady_timer>(this->loop, retry_interval);
+        const auto timer = std::make_shared<boost::asio::steady_timer>(this->loop, delay);
         timer->async_wait([timer, action = std::move(action)](const boost::system::error_code& reason) {
             if (!reason)
                 action();
         });
     }
 
+    // What an executor carries out late ends with its process.
+    void receive_executor_call(const std::string& id, const incoming_request& request, const reply_handler& reply)
+    {
+        if (request.target == "/hold" || !this->draw(this->late_order_percent)) {
+            this->serve_executor(id, request, reply);
+            return;
+        }
+        this->schedule(this->draw_delay(min_order_delay, max_order_delay),
+                       [this, id, request, incarnation = this->fleet.find_incarnation(id)] {
+                           if (this->fleet.find_incarnation(id) == incarnation)
+                               this->serve_executor(id, request, [](const outgoing_reply&) {});
+                       });
+    }
+
     void serve_executor(const std::string& id, const incoming_request& request, const reply_handler& reply)
     {
         const rapidjson::Document body = platform::parse_object(request.body);
@@ -540,7 +594,14 @@
     boost::asio::io_context& loop;
     store_model store;
     fleet_model fleet;
+    struct executor_listener {
+        int port = 0;
+        std::unique_ptr<http_listener> listener;
+    };
+
     std::string fault = "none";
+    unsigned late_order_percent = 0;
+    std::mt19937 random; // NOLINT(cert-msc32-c,cert-msc51-cpp): the same in each run.
     int policy_version = 0;
     std::uint64_t foreign_calls = 0; // Calls for executors at addresses that belong to no executor.
     std::set<std::string> advised_steps;
@@ -548,7 +609,7 @@
     std::optional<partition> active_partition;
     std::vector<waiting_poll> waiting_polls;
     http_listener store_listener;
-    std::vector<std::unique_ptr<http_listener>> executor_listeners;
+    std::map<std::string, executor_listener> executor_listeners; // By the executor's id.
     boost::asio::steady_timer heartbeat_timer;
     boost::asio::steady_timer poll_timer;
 };
--- a/tests/support/node_cluster.cpp
+++ b/tests/support/node_cluster.cpp
@@ -220,6 +220,32 @@
     return response ? response->status : 0;
 }
 
+int node_cluster::submit_for_later(int node, const std::string& job, const std::string& queue, const std::string& steps,
+                                   milliseconds delay)
+{
+    const std::uint64_t due_ms = read_wall_clock_ms() + static_cast<std::uint64_t>(delay.count());
+    const std::string body = R"({"spec":"payload","times":1,"interval-ms":1000,"start-at-ms":)" +
+                             std::to_string(due_ms) + R"(,"steps":[)" + steps + "]}";
+    const auto response =
+        this->get_caller_client(node).Post("/" + queue + "/" + job, caller_headers, body, "application/json");
+    return response ? response->status : 0;
+}
+
+bool node_cluster::cancel_until_acknowledged(int first_node, const std::string& job, const std::string& queue)
+{
+    constexpr int max_attempts = 100;
+    constexpr milliseconds pause{100};
+    constexpr int status_ok = 200;
+    constexpr int status_gone = 410;
+    for (int attempt = 0; attempt < max_attempts; ++attempt) {
+        const int status = this->cancel((first_node + attempt) % this->options.nodes, job, queue);
+        if (status == status_ok || status == status_gone)
+            return true;
+        std::this_thread::sleep_for(pause);
+    }
+    return false;
+}
+
 int node_cluster::cancel(int node, const std::string& job, const std::string& queue)
 {
     const auto response = this->get_caller_client(node).Delete("/" + queue + "/" + job, caller_headers);
@@ -281,6 +307,12 @@
     client.Post("/fault?kind=" + fault, "", "text/plain");
 }
 
+void node_cluster::set_late_orders(int percent)
+{
+    httplib::Client client = make_client(this->store_port);
+    client.Post("/late-orders?percent=" + std::to_string(percent), "", "text/plain");
+}
+
 void node_cluster::remove_queue(const std::string& queue)
 {
     httplib::Client client = make_client(this->store_port);
--- a/tests/support/node_cluster.h
+++ b/tests/support/node_cluster.h
@@ -45,6 +45,14 @@
     int submit(int node, const std::string& job, const std::string& queue, const std::string& steps);
     int cancel(int node, const std::string& job, const std::string& queue);
 
+    // Submits a job with one occurrence that is due after `delay`.
+    int submit_for_later(int node, const std::string& job, const std::string& queue, const std::string& steps,
+                         milliseconds delay);
+
+    // Repeats the cancellation, at the nodes in turn from `first_node` on, until it is acknowledged; false on a
+    // timeout.
+    bool cancel_until_acknowledged(int first_node, const std::string& job, const std::string& queue);
+
     // The job's state, e.g. "queued" or "running"; empty unless the response has status 200.
     std::string read_state(int node, const std::string& job, const std::string& queue);
 
@@ -67,9 +75,12 @@
     void evacuate_zone(const std::string& zone);
     void return_zone(const std::string& zone);
 
-    // The faults of stand-in-node-platform: none, refuse, mute, lost.
+    // The faults of stand-in-node-platform: none, refuse, mute, lost, late:PERCENT.
     void set_store_fault(const std::string& fault);
 
+    // The share of the orders that executors do not answer and carry out seconds later.
+    void set_late_orders(int percent);
+
     // The faults of stand-in-proxy: none, refuse, cut, freeze, freeze_answers, drop_answer, silence, delay:MS.
     void set_link_fault(proxied_link link, int index, const std::string& fault);
     void clear_link_faults();
