--- a/libraries/net/http_client.cpp
+++ b/libraries/net/http_client.cpp
@@ -109,7 +109,7 @@
         --next;
         if ((*next)->mark != mark)
             continue;
-        const connection_pointer connection = std::move(*next);
+        connection_pointer connection = std::move(*next);
         next = this->idle.erase(next);
         if (this->is_usable(connection))
             return connection;
