preemption_budget test: the draws of its load don't depend on the compiler

The load was drawn in the arguments of one call, whose order of evaluation the language leaves open: GCC takes them from the right on x86_64 and from the left on aarch64, where the figures were made. Now each draw is a statement, from the left; the three expected figures are unchanged and hold on x86_64, so the check is as strict as before, on both.

--- a/tests/dispatch/preemption_budget_test.cpp
+++ b/tests/dispatch/preemption_budget_test.cpp
@@ -502,9 +502,14 @@
     const auto draw = [&random](std::uint32_t limit) { return static_cast<std::uint32_t>(random() % limit); };
     for (int second = 0; second < 120; ++second) {
         const std::uint32_t priority = draw(3);
-        records::Submission submission =
-            crowded_fleet::make_submission("q" + std::to_string(priority), draw(3) == 0 ? "guaranteed" : "other",
-                                           1 + draw(4), 1U << draw(4), 1'000 + 500 * draw(10), draw(2) == 0);
+        // One draw a statement: the order in which arguments are evaluated differs between compilers.
+        const std::string account = draw(3) == 0 ? "guaranteed" : "other";
+        const std::uint32_t tasks = 1 + draw(4);
+        const std::uint32_t accelerators = 1U << draw(4);
+        const std::uint32_t estimate_ms = 1'000 + 500 * draw(10);
+        const bool is_gang = draw(2) == 0;
+        records::Submission submission = crowded_fleet::make_submission("q" + std::to_string(priority), account, tasks,
+                                                                        accelerators, estimate_ms, is_gang);
         submission.mutable_steps(0)->set_checkpointing(draw(2) == 0);
         fleet.add(submission);
         fleet.pass(500);
